--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -180,6 +180,17 @@
         self.limit.restart();
     }
 
+    /// Another start of the target is served, which states `slots`. One that is
+    /// cold gets few requests first.
+    pub fn reopen(&mut self, slots: u16, is_cold: bool) {
+        self.stated = slots.max(1);
+        self.limit = Limit::new(slots);
+        if !is_cold {
+            self.limit.open();
+        }
+        self.is_leaving = false;
+    }
+
     /// Whether the target is leaving.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving
--- a/crates/admit/src/limit.rs
+++ b/crates/admit/src/limit.rs
@@ -46,6 +46,12 @@
         self.is_cold = self.current < self.stated;
     }
 
+    /// Gives all slots at once.
+    pub(crate) fn open(&mut self) {
+        self.current = self.stated;
+        self.is_cold = false;
+    }
+
     pub(crate) fn current(&self) -> u16 {
         self.current
     }
--- a/crates/config/src/book.rs
+++ b/crates/config/src/book.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use crate::finding::Findings;
 use crate::parse::Source;
 use crate::service::Service;
+use crate::table::Table;
 
 /// Number of an accepted configuration. Revisions only grow.
 pub type Revision = u64;
@@ -14,12 +16,15 @@
 pub struct Change {
     /// Revision at which the file was accepted.
     pub revision: Revision,
-    /// Name of the service.
+    /// Name of the service; empty for the table of paths.
     pub service: Box<str>,
     /// Text of the file; empty when the service was removed.
     pub body: Box<str>,
 }
 
+/// Reads the text of a table of paths.
+pub type ReadTable = fn(&str) -> Result<Table, Findings>;
+
 /// What became of a set of changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Install {
@@ -31,6 +36,9 @@
     Invalid,
 }
 
+/// Where the table of paths stands among the services.
+const TABLE: &str = "";
+
 /// All services in force, by revision.
 ///
 /// A book at revision R holds every change up to R. [`Book::changes_since`]
@@ -40,15 +48,36 @@
 pub struct Book {
     revision: Revision,
     entries: BTreeMap<Box<str>, Entry>,
+    read_table: Option<ReadTable>,
 }
 
 #[derive(Debug)]
 struct Entry {
     change: Change,
-    service: Option<Rc<Service>>,
+    content: Content,
+}
+
+#[derive(Debug)]
+enum Content {
+    Removed,
+    Service(Rc<Service>),
+    Table(Rc<Table>),
 }
 
 impl Book {
+    /// An empty book that holds a table of paths, too.
+    pub fn with_table(read_table: ReadTable) -> Self {
+        Self { read_table: Some(read_table), ..Self::default() }
+    }
+
+    /// The table of paths in force.
+    pub fn table(&self) -> Option<&Rc<Table>> {
+        match &self.entries.get(TABLE)?.content {
+            Content::Table(table) => Some(table),
+            Content::Removed | Content::Service(_) => None,
+        }
+    }
+
     /// The revision in force; 0 before the first.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -56,12 +85,12 @@
 
     /// The service `name`, if it exists.
     pub fn service(&self, name: &str) -> Option<&Rc<Service>> {
-        self.entries.get(name)?.service.as_ref()
+        self.entries.get(name).and_then(Entry::service)
     }
 
     /// All services in force.
     pub fn services(&self) -> impl Iterator<Item = &Rc<Service>> {
-        self.entries.values().filter_map(|entry| entry.service.as_ref())
+        self.entries.values().filter_map(Entry::service)
     }
 
     /// The newest change of every service that changed after `after`, and the
@@ -97,8 +126,8 @@
         }
         let mut entries = Vec::with_capacity(changes.len());
         for change in changes {
-            match check(&change) {
-                Ok(service) => entries.push(Entry { change, service }),
+            match self.check(&change) {
+                Ok(content) => entries.push(Entry { change, content }),
                 Err(()) => return Install::Invalid,
             }
         }
@@ -116,15 +145,28 @@
             self.entries.insert(name.clone(), entry);
         }
     }
-}
 
-fn check(change: &Change) -> Result<Option<Rc<Service>>, ()> {
-    if change.body.is_empty() {
-        return Ok(None);
+    fn check(&self, change: &Change) -> Result<Content, ()> {
+        if change.body.is_empty() {
+            return Ok(Content::Removed);
+        }
+        if *change.service == *TABLE {
+            let table = self.read_table.and_then(|read| read(&change.body).ok()).ok_or(())?;
+            return Ok(Content::Table(Rc::new(table)));
+        }
+        let service = Service::try_from(Source::new(&change.service, &change.body)).map_err(drop)?;
+        if service.name != change.service {
+            return Err(());
+        }
+        Ok(Content::Service(Rc::new(service)))
     }
-    let service = Service::try_from(Source::new(&change.service, &change.body)).map_err(drop)?;
-    if service.name != change.service {
-        return Err(());
+}
+
+impl Entry {
+    fn service(&self) -> Option<&Rc<Service>> {
+        match &self.content {
+            Content::Service(service) => Some(service),
+            Content::Removed | Content::Table(_) => None,
+        }
     }
-    Ok(Some(Rc::new(service)))
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -28,8 +28,10 @@
 mod parse;
 mod scanners;
 mod service;
+mod table;
 
-pub use book::{Book, Change, Install, Revision};
+pub use book::{Book, Change, Install, ReadTable, Revision};
 pub use finding::{Finding, Findings};
 pub use parse::Source;
 pub use service::{Match, Pattern, Repeat, Rule, Service, Share};
+pub use table::{Bounds, Endpoint, Part, Path, Table};
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -128,7 +128,7 @@
         let method = self.checked(table, "method", "an HTTP method in capitals", is_method);
         let path =
             self.checked(table, "path", "a path that starts with /", |text| text.starts_with('/'));
-        let repeat = self.choice(table, "repeat", &["safe", "never"]);
+        let repeat = self.choice(table, "repeat", &["safe", "never", "attempt"]);
         let wait = match table.contains_key("wait") {
             true => self.choice(table, "wait", &["yes", "no"]),
             false => Some(1),
@@ -141,7 +141,7 @@
             name: name?,
             method: method?,
             path: Pattern::from(&*path?),
-            repeat: [Repeat::Safe, Repeat::Never][repeat?],
+            repeat: [Repeat::Safe, Repeat::Never, Repeat::Attempt][repeat?],
             may_wait: wait? == 0,
             answer_within: own_deadline.unwrap_or(deadline),
         })
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -46,6 +46,9 @@
     Safe,
     /// The request runs at most once.
     Never,
+    /// The request runs at most once for each attempt of its caller, whose id is
+    /// never used again: it goes to one target, and nothing is stored of it.
+    Attempt,
 }
 
 /// A path, or the prefix of all paths below one.
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -16,7 +16,7 @@
 use wire::Changes;
 
 use crate::journal::{ARRIVED, Event};
-use crate::{configuration, guard, journal, membership, names, peers, store};
+use crate::{configuration, guard, journal, membership, names, peers, storage};
 
 /// Time limit of working out a page.
 const PAGE_TIME: Duration = Duration::from_secs(3);
@@ -177,11 +177,11 @@
         let configuration = self.configuration();
         let guard: Mailbox<guard::Ask> = self.kernel.service(names::GUARD);
         let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
-        let store: Mailbox<store::Ask> = self.kernel.service(names::STORE);
+        let store: Mailbox<storage::Ask> = self.kernel.service(names::STORE);
         let configuration = configuration.ask(|reply| configuration::Ask::State { reply }).await;
         let guard = guard.ask(|reply| guard::Ask::State { reply }).await;
         let members = membership.ask(|reply| membership::Ask::All { reply }).await;
-        let is_down = store.ask(|reply| store::Ask::IsDown { reply }).await;
+        let is_down = store.ask(|reply| storage::Ask::IsDown { reply }).await;
         json!({
             "node": format!("{:016x}", self.node),
             "version": env!("CARGO_PKG_VERSION"),
@@ -242,6 +242,7 @@
         "patient": status.load.patient,
         "slots": status.load.slots,
         "service_ms": status.load.service.as_secs_f64() * 1e3,
+        "pace_percent": status.load.pace,
         "leaving": status.load.leaving,
         "reachable": status.is_reachable,
         "held_requests": status.held,
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -44,6 +44,8 @@
     redirects: usize,
     retries: u32,
     crashes: u32,
+    /// Targets that the call may have reached.
+    reached: u32,
     may_have_run: bool,
     /// A target's answer that tells of its own failure.
     ran: Option<Answer>,
@@ -69,6 +71,7 @@
             redirects: 0,
             retries: 0,
             crashes: 0,
+            reached: 0,
             may_have_run: false,
             ran: None,
         };
@@ -99,7 +102,10 @@
     pub(crate) async fn recall(&self, call: &Call, deadline: Instant, node: Node) -> Answer {
         let unknown = |reason| Answer::refusal(Outcome::Unknown, reason, node);
         let remaining = deadline.saturating_duration_since(self.clock.now());
-        let request = Request { recall_only: true, ..request_of(call, remaining, "", true, 0) };
+        let request = Request {
+            recall_only: true,
+            ..request_of(call, remaining, self.guard.service())
+        };
         let address = self.router.ask(|reply| router::Ask::Address { node, reply }).await.flatten();
         let Some(address) = address else {
             return unknown(Reason::Unreachable);
@@ -113,7 +119,11 @@
 
     async fn choose(&self, call: &Call, tried: &[Node], is_first: bool) -> Option<Route> {
         let (service, tried) = (call.service.clone(), tried.to_vec());
-        let call = route::Call { may_wait: call.may_wait, repeatable: call.repeatable };
+        let call = route::Call {
+            may_wait: call.treatment.may_wait,
+            repeatable: call.is_repeatable(),
+            kind: call.treatment.kind.clone(),
+        };
         let ask = |reply| router::Ask::Choose { service, tried, is_first, call, reply };
         self.router.ask(ask).await.flatten()
     }
@@ -145,7 +155,9 @@
         progress.tried.push(route.node);
         let crashes = progress.crashes as u8;
         let hedge_after =
-            route.hedge_after.filter(|_| call.repeatable && call.depth < MAX_HEDGED_DEPTH);
+            route.hedge_after.filter(|_| call.is_repeatable() && call.depth < MAX_HEDGED_DEPTH);
+        let hedge_after =
+            hedge_after.filter(|_| progress.reached + 2 <= call.treatment.max_attempts);
         let node = route.node;
         let may_queue = route.may_queue;
         self.note(call, Event::Sent { node, may_queue });
@@ -202,7 +214,8 @@
         is_very_late: bool,
     ) -> Option<Route> {
         let (service, tried) = (call.service.clone(), progress.tried.clone());
-        let ask = |reply| router::Ask::Hedge { service, tried, is_very_late, reply };
+        let kind = call.treatment.kind.clone();
+        let ask = |reply| router::Ask::Hedge { service, kind, tried, is_very_late, reply };
         let route = self.router.ask(ask).await.flatten()?;
         let counter = match is_very_late {
             true => "bronzeport_retries_total",
@@ -211,6 +224,7 @@
         metrics::counter!(counter).increment(1);
         self.note(call, Event::Hedged { node: route.node });
         progress.tried.push(route.node);
+        progress.reached += 1;
         Some(route)
     }
 
@@ -232,7 +246,13 @@
         };
         let remaining = deadline.saturating_duration_since(self.clock.now());
         let remaining = remaining.saturating_sub(GUARD_MARGIN);
-        let request = request_of(call, remaining, claim_tag, route.may_queue, crashes);
+        let caller = self.guard.service();
+        let request = Request {
+            may_queue: route.may_queue,
+            crashes,
+            claim_tag: claim_tag.into(),
+            ..request_of(call, remaining, caller)
+        };
         let answer = self.deliver(route.node, route.address, request).await;
         sent.end(&answer);
         self.note(call, event_of(route.node, &answer));
@@ -269,7 +289,11 @@
     fn note(&mut self, failure: Failure, answer: &Answer) {
         match failure {
             Failure::Busy | Failure::Leaving => self.redirects += 1,
-            _ => self.retries += 1,
+            Failure::Unreachable if answer.outcome == Outcome::NotRun => self.retries += 1,
+            _ => {
+                self.retries += 1;
+                self.reached += 1;
+            }
         }
         if answer.reason == Reason::Crashed {
             self.crashes += 1;
@@ -291,8 +315,9 @@
     ) -> Situation {
         Situation {
             failure,
-            repeatable: call.repeatable,
+            repeatable: call.is_repeatable(),
             may_have_run: self.may_have_run,
+            attempts_left: call.treatment.max_attempts.saturating_sub(self.reached),
             redirects: self.redirects,
             retries: self.retries,
             crashes: self.crashes,
@@ -366,29 +391,30 @@
     }
 }
 
-fn request_of(
-    call: &Call,
-    remaining: Duration,
-    claim_tag: &str,
-    may_queue: bool,
-    crashes: u8,
-) -> Request {
+fn request_of(call: &Call, remaining: Duration, caller: Box<str>) -> Request {
+    let treatment = &call.treatment;
+    let spent = call.deadline.saturating_sub(remaining);
     Request {
         id: call.id.clone(),
         service: call.service.clone(),
         method: call.method.clone(),
         path: call.path.clone(),
         headers: call.headers.clone(),
-        body: call.body[..].into(),
+        body: call.body.clone(),
         remaining,
         depth: call.depth,
-        may_wait: call.may_wait,
-        may_queue,
-        repeatable: call.repeatable,
-        crashes,
-        claim_tag: claim_tag.into(),
+        may_wait: treatment.may_wait,
+        may_queue: true,
+        repeatable: call.is_repeatable(),
+        crashes: 0,
+        claim_tag: "".into(),
         recall_only: false,
         fingerprint: call.fingerprint,
+        caller,
+        kind: treatment.kind.clone(),
+        rank: treatment.rank,
+        aim: treatment.aim.saturating_sub(spent),
+        once: !call.is_repeatable() && !call.is_claimed(),
     }
 }
 
@@ -411,6 +437,7 @@
         Reason::Busy => Failure::Busy,
         Reason::Leaving | Reason::NoTarget => Failure::Leaving,
         Reason::Unreachable => Failure::Unreachable,
+        Reason::TargetShed => Failure::Shed,
         Reason::Cut => Failure::Lost,
         Reason::Crashed => Failure::Crashed,
         _ => Failure::Final,
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -3,29 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use config::{Match, Repeat, Service};
-use hyper::HeaderMap;
-use hyper::http::request::Parts;
+use config::{Match, Path, Repeat, Service};
 use wire::{Header, Reason};
 
-use crate::{headers, target};
+use crate::edge::{Head, Refused};
+use crate::headers;
 
-/// Longest id that a caller may choose, in bytes.
-const MAX_ID_BYTES: usize = 200;
-/// Longest deadline that a caller may ask for.
-const MAX_DEADLINE: Duration = Duration::from_secs(3600);
-
-/// The head of a caller's request.
-#[derive(Debug)]
-pub(crate) struct Head {
-    pub(crate) service: Box<str>,
-    pub(crate) id: Option<Box<str>>,
-    pub(crate) deadline: Option<Duration>,
-    pub(crate) depth: u8,
-    pub(crate) method: Box<str>,
-    pub(crate) path: Box<str>,
-    pub(crate) headers: Vec<Header>,
-}
+/// Most targets that a request of a service file's rule is sent to.
+const MAX_ATTEMPTS: u32 = 4;
 
 /// A request and how it may be treated.
 #[derive(Debug)]
@@ -38,128 +23,124 @@
     pub(crate) body: Bytes,
     pub(crate) deadline: Duration,
     pub(crate) depth: u8,
-    pub(crate) may_wait: bool,
-    pub(crate) repeatable: bool,
+    pub(crate) treatment: Treatment,
     pub(crate) fingerprint: u64,
 }
 
-/// Why a request is refused before it is sent anywhere.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Refused {
-    pub(crate) reason: Reason,
-    pub(crate) text: Box<str>,
+/// What the configuration says of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Treatment {
+    /// Name of the rule or path.
+    pub(crate) kind: Box<str>,
+    pub(crate) repeat: Repeat,
+    pub(crate) may_wait: bool,
+    /// Longest time that the caller is kept waiting.
+    pub(crate) answer_within: Duration,
+    /// Whether a caller may ask for more time than that.
+    pub(crate) is_default: bool,
+    /// Time within which an answer is of full use.
+    pub(crate) aim: Duration,
+    pub(crate) rank: u8,
+    pub(crate) max_attempts: u32,
+    /// Bytes of the largest body.
+    pub(crate) body_bytes: usize,
 }
 
-fn refused(reason: Reason, text: impl Into<Box<str>>) -> Refused {
+pub(crate) fn refused(reason: Reason, text: impl Into<Box<str>>) -> Refused {
     Refused { reason, text: text.into() }
 }
 
-impl TryFrom<&Parts> for Head {
-    type Error = Refused;
-
-    fn try_from(parts: &Parts) -> Result<Self, Refused> {
-        let headers = &parts.headers;
-        let bad = |text: String| refused(Reason::BadRequest, text);
-        let service = match text_of(headers, headers::SERVICE).map_err(bad)? {
-            Some(service) => service,
-            None => service_of_host(headers).ok_or_else(|| {
-                bad(format!("the request names no service; set the header {}", headers::SERVICE))
-            })?,
-        };
-        let key = text_of(headers, headers::IDEMPOTENCY_KEY).map_err(bad)?;
-        let id = match key {
-            Some(key) => Some(key),
-            None => text_of(headers, headers::REQUEST_ID).map_err(bad)?,
-        };
-        if id.as_ref().is_some_and(|id| !is_id(id)) {
-            return Err(bad(format!(
-                "the request id must have 1 to {MAX_ID_BYTES} visible ASCII characters"
-            )));
-        }
-        let deadline = number_of(headers, headers::DEADLINE_MS).map_err(bad)?;
-        let depth = number_of(headers, headers::DEPTH).map_err(bad)?.unwrap_or(0);
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        Ok(Self {
-            service: service.into(),
-            id: id.map(Box::from),
-            deadline: deadline.map(|millis| Duration::from_millis(millis).min(MAX_DEADLINE)),
-            depth: u8::try_from(depth).unwrap_or(u8::MAX),
-            method: parts.method.as_str().into(),
-            path: path.into(),
-            headers: target::end_to_end(headers),
-        })
-    }
-}
-
-impl Head {
-    /// Joins the head with the body and the rule of its service.
-    pub(crate) fn into_call(self, service: &Service, body: Bytes) -> Result<Call, Refused> {
-        let rule = match service.find_rule(&self.method, &self.path) {
-            Match::Rule(rule) => rule,
+impl Treatment {
+    /// What a service's file says of a request.
+    pub(crate) fn of_rule(service: &Service, head: &Head) -> Result<Self, Refused> {
+        match service.find_rule(&head.method, &head.path) {
+            Match::Rule(rule) => Ok(Self {
+                kind: rule.name.clone(),
+                repeat: rule.repeat,
+                may_wait: rule.may_wait,
+                answer_within: rule.answer_within,
+                is_default: true,
+                aim: rule.answer_within,
+                rank: 0,
+                max_attempts: MAX_ATTEMPTS,
+                body_bytes: wire::MAX_BODY_BYTES,
+            }),
             Match::UnknownMethod => {
-                let text = format!("{} takes no {} for this path", service.name, self.method);
-                return Err(refused(Reason::UnknownMethod, text));
+                let text = format!("{} takes no {} for this path", service.name, head.method);
+                Err(refused(Reason::UnknownMethod, text))
             }
             Match::UnknownPath => {
                 let text = format!("{} has no request for this path", service.name);
-                return Err(refused(Reason::UnknownPath, text));
+                Err(refused(Reason::UnknownPath, text))
             }
-        };
-        let repeatable = rule.repeat == Repeat::Safe;
-        let id = match (self.id, repeatable) {
+        }
+    }
+
+    /// What the table of paths says of a request.
+    pub(crate) fn of_path(path: &Path, body_bytes: usize) -> Self {
+        Self {
+            kind: path.name.clone(),
+            repeat: path.repeat,
+            may_wait: false,
+            answer_within: path.answer_within,
+            is_default: false,
+            aim: path.aim,
+            rank: path.rank,
+            max_attempts: path.max_attempts,
+            body_bytes: body_bytes.min(wire::MAX_BODY_BYTES),
+        }
+    }
+
+    fn deadline(&self, asked: Option<Duration>) -> Duration {
+        match asked {
+            Some(asked) if self.is_default => asked,
+            Some(asked) => asked.min(self.answer_within),
+            None => self.answer_within,
+        }
+    }
+}
+
+impl Call {
+    /// Joins a head with its service, its treatment and its body.
+    pub(crate) fn new(
+        head: Head,
+        service: Box<str>,
+        treatment: Treatment,
+        body: Bytes,
+    ) -> Result<Self, Refused> {
+        let id = match (head.id, treatment.repeat) {
             (Some(id), _) => id,
-            (None, true) => uuid::Uuid::now_v7().to_string().into(),
-            (None, false) => {
+            (None, Repeat::Safe) => uuid::Uuid::now_v7().to_string().into(),
+            (None, Repeat::Never | Repeat::Attempt) => {
                 let text = format!(
                     "{} may run at most once: set the header {}",
-                    rule.name,
+                    treatment.kind,
                     headers::IDEMPOTENCY_KEY
                 );
                 return Err(refused(Reason::BadRequest, text));
             }
         };
-        Ok(Call {
+        Ok(Self {
             id,
-            fingerprint: once::fingerprint(&self.service, &self.method, &self.path, &body),
-            service: self.service,
-            method: self.method,
-            path: self.path,
-            headers: self.headers,
+            fingerprint: once::fingerprint(&service, &head.method, &head.path, &body),
+            service,
+            method: head.method,
+            path: head.path,
+            headers: head.headers,
             body,
-            deadline: self.deadline.unwrap_or(rule.answer_within),
-            depth: self.depth,
-            may_wait: rule.may_wait,
-            repeatable,
+            deadline: treatment.deadline(head.deadline),
+            depth: head.depth,
+            treatment,
         })
     }
-}
 
-fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
-    let Some(value) = headers.get(name) else {
-        return Ok(None);
-    };
-    match value.to_str() {
-        Ok(text) => Ok(Some(text)),
-        Err(_) => Err(format!("the header {name} is not visible ASCII")),
+    /// Whether the request may run more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.treatment.repeat == Repeat::Safe
     }
-}
 
-fn number_of(headers: &HeaderMap, name: &str) -> Result<Option<u64>, String> {
-    let Some(text) = text_of(headers, name)? else {
-        return Ok(None);
-    };
-    let number = text.trim().parse();
-    number.map(Some).map_err(|_| format!("the header {name} is not a whole number"))
-}
-
-fn is_id(id: &str) -> bool {
-    (1..=MAX_ID_BYTES).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic())
-}
-
-/// The first label of the host, when it is not an address.
-fn service_of_host(headers: &HeaderMap) -> Option<&str> {
-    let host = headers.get(hyper::header::HOST)?.to_str().ok()?;
-    let label = host.split(['.', ':']).next()?;
-    let is_name = label.bytes().next()?.is_ascii_lowercase() && label != "localhost";
-    is_name.then_some(label)
+    /// Whether a row in the store decides which copy of the request runs.
+    pub(crate) fn is_claimed(&self) -> bool {
+        self.treatment.repeat == Repeat::Never
+    }
 }
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -4,9 +4,9 @@
 
 use kernel::{Kernel, Mailbox};
 use once::{Claim, Nonce, Row, State, Written, decide_claim};
-use platform::{Commit, Condition, Failure, Write};
+use store::{Commit, Condition, Failure, Write};
 
-use crate::{names, store};
+use crate::{names, storage};
 
 /// Reads back after an answer that was lost.
 const READ_BACK_TRIES: u32 = 3;
@@ -34,7 +34,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Claims {
     kernel: Kernel,
-    store: Mailbox<store::Ask>,
+    store: Mailbox<storage::Ask>,
 }
 
 impl Claims {
@@ -45,7 +45,7 @@
     /// Reads the row of an id.
     pub(crate) async fn read(&self, service: &str, id: &str) -> Result<Option<Standing>, Failure> {
         let key = key_of(service, id);
-        let ask = |reply| store::Ask::Read { key, reply };
+        let ask = |reply| storage::Ask::Read { key, reply };
         let row = self.store.ask(ask).await.unwrap_or(Err(Failure::Down))?;
         let Some(row) = row else {
             return Ok(None);
@@ -126,7 +126,7 @@
             },
             value: row.to_text().into(),
         };
-        let ask = |reply| store::Ask::Commit { write, reply };
+        let ask = |reply| storage::Ask::Commit { write, reply };
         match self.store.ask(ask).await {
             Some(Commit::Done(tags)) => {
                 (Written::Done, tags.into_iter().next().unwrap_or_default())
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -8,13 +8,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use config::{Book, Change, Install, Revision, Service};
+use config::{Book, Bounds, Change, Install, Path, Revision, Service};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use platform::{Failure, Row};
 use serde_json::Value;
+use store::{Failure, Row, Rows, Version};
 use wire::Changes;
 
-use crate::{membership, names, peers, router, store};
+use crate::edge::Edge;
+use crate::{guard, membership, names, peers, router, storage};
 
 /// Reads of the newest revision that the whole fleet makes in a second.
 const FLEET_POLLS_PER_SECOND: f64 = 100.0;
@@ -33,6 +34,14 @@
 /// Rows in one page of a list.
 const PAGE_ROWS: usize = 500;
 
+/// Time for which a feed of the table of paths waits for a change: short enough
+/// to notice soon that a connection has gone silent.
+const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Rows of the table that holds the table of paths, at most.
+const MAX_FEED_ROWS: usize = 100;
+/// Pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
 const HEAD_KEY: &str = "config/head";
 const LOG_PREFIX: &str = "config/log/";
 const SERVICE_PREFIX: &str = "config/service/";
@@ -41,6 +50,10 @@
 pub(crate) enum Ask {
     /// Give the settings of a service.
     Service { name: Box<str>, reply: Reply<Option<Rc<Service>>> },
+    /// Give what the table of paths says of a request.
+    Path { hostname: Box<str>, path: Box<str>, reply: Reply<Option<(Rc<Path>, Bounds)>> },
+    /// The table of paths as it stands in the store.
+    Table { text: Box<str> },
     /// A peer has this revision.
     Heard { revision: Revision, from: Box<str> },
     /// Give all changes after a revision.
@@ -51,6 +64,8 @@
     Pulled,
     /// The table's newest revision, as just read.
     Head(Result<Revision, Failure>),
+    /// The store's feed has answered: nothing newer stands there.
+    Confirmed,
     /// The fleet has this many members.
     Members(usize),
     /// Tell what is in force.
@@ -69,13 +84,14 @@
 }
 
 /// Starts the service.
-pub(crate) fn start(kernel: &Kernel, first_peers: &[SocketAddr]) {
+pub(crate) fn start(kernel: &Kernel, edge: Edge, first_peers: &[SocketAddr]) {
     let inbox = kernel.register(names::CONFIGURATION);
     let mailbox: Mailbox<Ask> = kernel.service(names::CONFIGURATION);
     let task = Task {
         kernel: kernel.clone(),
         mailbox: mailbox.clone(),
-        book: Book::default(),
+        book: edge.read_table.map_or_else(Book::default, Book::with_table),
+        edge,
         is_pulling: false,
         is_ready: false,
         confirmed: None,
@@ -83,12 +99,16 @@
     };
     kernel.start(task.run(inbox));
     let first_peers = first_peers.iter().map(|peer| peer.to_string().into()).collect();
-    kernel.start(follow(kernel.clone(), mailbox, first_peers));
+    match edge.read_table {
+        Some(_) => kernel.start(follow_table(kernel.clone(), mailbox, edge.table_row)),
+        None => kernel.start(follow(kernel.clone(), mailbox, first_peers)),
+    }
 }
 
 struct Task {
     kernel: Kernel,
     mailbox: Mailbox<Ask>,
+    edge: Edge,
     book: Book,
     is_pulling: bool,
     is_ready: bool,
@@ -108,6 +128,14 @@
             Ask::Service { name, reply } => {
                 reply.send(self.book.service(&name).cloned());
             }
+            Ask::Path { hostname, path, reply } => {
+                let table = self.book.table();
+                let found = table.and_then(|table| {
+                    Some((table.find(&hostname, &path)?.clone(), table.bounds))
+                });
+                reply.send(found);
+            }
+            Ask::Table { text } => self.install_table(text),
             Ask::Heard { revision, from } => self.heard(revision, from),
             Ask::Changes { after, reply } => {
                 let (revision, changes) = self.book.changes_since(after, MAX_PULL_BYTES);
@@ -116,6 +144,7 @@
             Ask::Install { from, changes } => self.install(from, changes),
             Ask::Pulled => self.is_pulling = false,
             Ask::Head(head) => self.confirm(head),
+            Ask::Confirmed => self.confirmed = Some(self.kernel.clock().now()),
             Ask::Members(count) => self.poll_every = poll_every(count),
             Ask::State { reply } => {
                 reply.send(self.state());
@@ -125,7 +154,10 @@
 
     fn state(&self) -> State {
         let now = self.kernel.clock().now();
-        let limit = self.poll_every * POLLS_UNTIL_UNSURE;
+        let limit = match self.edge.read_table {
+            Some(_) => FEED_WAIT * 2,
+            None => self.poll_every * POLLS_UNTIL_UNSURE,
+        };
         State {
             revision: self.book.revision(),
             may_be_old: self.confirmed.is_none_or(|at| now - at > limit),
@@ -152,7 +184,10 @@
             return;
         }
         match self.book.install(changes.revision, changes.changes) {
-            Install::Installed(revision) => self.announce(revision),
+            Install::Installed(revision) => {
+                self.is_ready |= self.edge.read_table.is_some();
+                self.announce(revision);
+            }
             Install::Stale => {}
             Install::Invalid => {
                 log::warn!(
@@ -164,11 +199,38 @@
         }
     }
 
+    /// Installs the table of paths, whose text tells its revision.
+    fn install_table(&mut self, text: Box<str>) {
+        let Some(read) = self.edge.read_table else {
+            return;
+        };
+        match read(&text) {
+            Ok(table) => {
+                let revision = table.revision;
+                let change = Change { revision, service: "".into(), body: text };
+                self.install(0, Changes { revision, changes: vec![change] });
+                self.is_ready = true;
+            }
+            Err(findings) => {
+                log::warn!("the table of paths does not pass the check: {findings}");
+                metrics::counter!("bronzeport_config_invalid_total").increment(1);
+            }
+        }
+    }
+
     fn announce(&self, revision: Revision) {
         log::info!("configuration revision {revision} is in force");
         metrics::gauge!("bronzeport_config_revision").set(revision as f64);
         let router: Mailbox<router::Ask> = self.kernel.service(names::ROUTER);
         router.send(router::Ask::Services(self.book.services().cloned().collect()));
+        if let Some(table) = self.book.table() {
+            let endpoints = table.endpoints.iter();
+            let names = endpoints.clone().map(|endpoint| endpoint.service.clone()).collect();
+            router.send(router::Ask::Endpoints(names));
+            let paths = endpoints.map(|e| (e.service.clone(), e.health_path.clone())).collect();
+            let guard: Mailbox<guard::Ask> = self.kernel.service(names::GUARD);
+            guard.send(guard::Ask::HealthPaths(paths));
+        }
         let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
         membership.send(membership::Ask::Revision(revision));
     }
@@ -203,6 +265,53 @@
     }
 }
 
+/// Reads the table of paths and follows its changes. Other daemons tell of a new
+/// revision, too, when the store does not.
+async fn follow_table(kernel: Kernel, mailbox: Mailbox<Ask>, row: &str) {
+    let table = row.split('/').next().unwrap_or(row);
+    let mut known = None;
+    loop {
+        match read_feed(&kernel, table, known).await {
+            Ok(rows) => {
+                known = Some(rows.version);
+                for row in rows.rows.into_iter().filter(|found| *found.key == *row) {
+                    mailbox.send(Ask::Table { text: row.value });
+                }
+                mailbox.send(Ask::Confirmed);
+            }
+            // The whole table is read again.
+            Err(Failure::Compacted) => {
+                log::info!("the feed of {table} has lost its history and is read anew");
+                known = None;
+            }
+            Err(failure) => {
+                log::debug!("the feed of {table} has failed: {failure}");
+                kernel.clock().sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+            }
+        }
+    }
+}
+
+/// The whole table, or its changes after a version that is known.
+async fn read_feed(
+    kernel: &Kernel,
+    table: &str,
+    known: Option<Version>,
+) -> Result<Rows, Failure> {
+    let rows: Mailbox<storage::Ask> = kernel.service(names::STORE);
+    let table = table.into();
+    let read = match known {
+        None => {
+            rows.ask(|reply| storage::Ask::Table { table, limit: MAX_FEED_ROWS, reply }).await
+        }
+        Some(after) => {
+            let wait = FEED_WAIT;
+            rows.ask(|reply| storage::Ask::Feed { table, after, wait, reply }).await
+        }
+    };
+    read.unwrap_or(Err(Failure::Down))
+}
+
 /// Time between two reads of the table's head by one of `members` daemons.
 fn poll_every(members: usize) -> Duration {
     let every = Duration::from_secs_f64(members as f64 / FLEET_POLLS_PER_SECOND);
@@ -247,10 +356,10 @@
 }
 
 async fn read_head(kernel: &Kernel) -> Result<Revision, Failure> {
-    let store: Mailbox<store::Ask> = kernel.service(names::STORE);
+    let rows: Mailbox<storage::Ask> = kernel.service(names::STORE);
     let key = HEAD_KEY.into();
     let row =
-        store.ask(|reply| store::Ask::Read { key, reply }).await.unwrap_or(Err(Failure::Down))?;
+        rows.ask(|reply| storage::Ask::Read { key, reply }).await.unwrap_or(Err(Failure::Down))?;
     match row {
         None => Ok(0),
         Some(row) => number_of(&row.value, "revision").ok_or(Failure::Garbled),
@@ -269,9 +378,9 @@
 }
 
 async fn list(kernel: &Kernel, prefix: &str, after: &str, limit: usize) -> Option<Vec<Row>> {
-    let store: Mailbox<store::Ask> = kernel.service(names::STORE);
+    let store: Mailbox<storage::Ask> = kernel.service(names::STORE);
     let (prefix, after) = (prefix.into(), after.into());
-    let rows = store.ask(|reply| store::Ask::List { prefix, after, limit, reply }).await;
+    let rows = store.ask(|reply| storage::Ask::List { prefix, after, limit, reply }).await;
     rows?.ok()
 }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,13 +11,14 @@
 use kernel::{Clock, Kernel, Mailbox};
 use once::Arrival;
 use route::Node;
-use wire::{Answer, MAX_BODY_BYTES, Outcome, Reason};
+use wire::{Answer, Outcome, Reason};
 
 use crate::attempt::Attempts;
-use crate::call::{Call, Head, Refused};
+use crate::call::{Call, Treatment, refused};
 use crate::claims::Claims;
+use crate::edge::{Destination, Edge, Final, Head, Refused};
 use crate::journal::{self, Event};
-use crate::{configuration, guard, names, response, router};
+use crate::{configuration, guard, names, router};
 
 /// Time limit of a caller's body.
 const BODY_TIME: Duration = Duration::from_secs(10);
@@ -27,6 +28,7 @@
 /// Takes calls from callers.
 pub(crate) struct Entry {
     node: Node,
+    edge: Edge,
     max_depth: u8,
     clock: Clock,
     configuration: Mailbox<configuration::Ask>,
@@ -49,23 +51,17 @@
     Refusing,
 }
 
-/// The final answer to a caller, before it becomes an HTTP response.
-pub(crate) struct Final {
-    pub(crate) id: Option<Box<str>>,
-    pub(crate) entry: Node,
-    pub(crate) answer: Answer,
-    pub(crate) text: Box<str>,
-}
-
 impl Entry {
     pub(crate) fn new(
         kernel: &Kernel,
         node: Node,
+        edge: Edge,
         max_depth: u8,
         guard: guard::Handle,
     ) -> Rc<Self> {
         Rc::new(Self {
             node,
+            edge,
             max_depth,
             clock: *kernel.clock(),
             configuration: kernel.service(names::CONFIGURATION),
@@ -106,7 +102,7 @@
         let last = self.answer(arrived, request).await;
         self.finished.set(self.finished.get() + 1);
         let Answer { outcome, reason, .. } = last.answer;
-        let mut response = response::of(&last);
+        let mut response = (self.edge.write_response)(&last);
         if self.stage.get() != Stage::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -135,8 +131,8 @@
         let deadline = arrived + call.deadline;
         let answer = match self.check(&call).await {
             Some(answer) => self.settle_refusal(&call, None, answer).await,
-            None if call.repeatable => self.attempts.run(&call, deadline, "").await,
-            None => self.run_once(&call, deadline).await,
+            None if call.is_claimed() => self.run_once(&call, deadline).await,
+            None => self.attempts.run(&call, deadline, "").await,
         };
         let reason = journal::reason_text(answer.reason);
         let outcome = journal::outcome_text(answer.outcome);
@@ -150,44 +146,66 @@
 
     async fn read(&self, request: Request<Incoming>) -> Result<Call, Refused> {
         let (parts, body) = request.into_parts();
-        let head = Head::try_from(&parts)?;
-        let name = head.service.clone();
-        let ask = |reply| configuration::Ask::Service { name, reply };
-        let Some(service) = self.configuration.ask(ask).await.flatten() else {
-            return Err(self.unknown_service(&head.service).await);
-        };
-        let reading = web::read_body(body, MAX_BODY_BYTES);
+        let head = (self.edge.read_head)(&parts)?;
+        let (service, treatment) = self.treatment(&head).await?;
+        let body_bytes = treatment.body_bytes;
+        let reading = web::read_body(body, body_bytes);
         let body = match self.clock.timeout(BODY_TIME, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(web::BodyError::TooLarge)) => {
-                return Err(Refused {
-                    reason: Reason::TooLarge,
-                    text: format!("the body is larger than {MAX_BODY_BYTES} bytes").into(),
-                });
+                let text = format!("the body is larger than {body_bytes} bytes");
+                return Err(refused(Reason::TooLarge, text));
             }
-            Ok(Err(web::BodyError::Broken)) | Err(_) => {
-                return Err(Refused {
-                    reason: Reason::BadRequest,
-                    text: "the body did not come whole".into(),
-                });
+            Ok(Err(web::BodyError::Broken)) => {
+                return Err(refused(Reason::BadRequest, "the body did not come whole"));
+            }
+            Err(kernel::Expired) => {
+                return Err(refused(Reason::Slow, "the body did not come in time"));
             }
         };
-        head.into_call(&service, body)
+        Call::new(head, service, treatment, body)
+    }
+
+    /// What the configuration says of a request: its service and its treatment.
+    async fn treatment(&self, head: &Head) -> Result<(Box<str>, Treatment), Refused> {
+        match &head.destination {
+            Destination::Service { name } => {
+                let ask = |reply| configuration::Ask::Service { name: name.clone(), reply };
+                match self.configuration.ask(ask).await.flatten() {
+                    Some(service) => {
+                        Ok((service.name.clone(), Treatment::of_rule(&service, head)?))
+                    }
+                    None => Err(self.unknown(Reason::UnknownService, name).await),
+                }
+            }
+            Destination::Address { hostname } => {
+                let ask = |reply| configuration::Ask::Path {
+                    hostname: hostname.clone(),
+                    path: head.path.clone(),
+                    reply,
+                };
+                let found = self.configuration.ask(ask).await.flatten();
+                let found = found.and_then(|(path, bounds)| {
+                    let service = path.service(fastrand::f64())?.into();
+                    Some((service, Treatment::of_path(&path, bounds.body_bytes)))
+                });
+                match found {
+                    Some(found) => Ok(found),
+                    None => Err(self.unknown(Reason::UnknownPath, hostname).await),
+                }
+            }
+        }
     }
 
-    /// A daemon that has just started cannot tell that a service does not exist:
-    /// another copy of the request may run through a daemon that knows it.
-    async fn unknown_service(&self, name: &str) -> Refused {
+    /// A daemon that has just started cannot tell that a service or path does not
+    /// exist: another copy of the request may run through a daemon that knows it.
+    async fn unknown(&self, reason: Reason, name: &str) -> Refused {
         let state = self.configuration.ask(|reply| configuration::Ask::State { reply }).await;
         match state {
-            Some(state) if state.is_ready && state.revision > 0 => Refused {
-                reason: Reason::UnknownService,
-                text: format!("there is no service {name}").into(),
-            },
-            _ => Refused {
-                reason: Reason::NotReady,
-                text: "this daemon has no configuration yet".into(),
-            },
+            Some(state) if state.is_ready && state.revision > 0 => {
+                refused(reason, format!("nothing is known of {name}"))
+            }
+            _ => refused(Reason::NotReady, "this daemon has no configuration yet"),
         }
     }
 
@@ -252,7 +270,7 @@
     /// `not-run` is told for a request that may not be repeated only when no
     /// copy that arrived before can run any more.
     async fn settle_refusal(&self, call: &Call, tag: Option<&str>, answer: Answer) -> Answer {
-        if call.repeatable || answer.outcome != Outcome::NotRun {
+        if !call.is_claimed() || answer.outcome != Outcome::NotRun {
             return answer;
         }
         let tag = match tag {
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -6,23 +6,25 @@
 
 mod copies;
 mod job;
-
+mod standing;
 mod task;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use admit::{Discipline, Gate, Hold, Holds, Ticket};
 use kernel::{Kernel, Mailbox, Reply};
 use once::Ledger;
-use route::{Load, Node};
+use route::{Load, Node, Works};
 use wire::{Answer, Request};
 
 use crate::claims::{Claimed, Claims};
-use crate::names;
-use crate::target::{Run, Target};
+use crate::edge::{Edge, Identity, Notice};
+use crate::target::{Look, Run, Target};
+use crate::{names, settings};
+use standing::Standing;
 use task::Task;
 
 /// Bytes of answers kept for copies of requests that may not be repeated.
@@ -31,6 +33,8 @@
 const LEDGER_AGE: Duration = Duration::from_secs(600);
 /// Time between two looks whether a target that was down is back.
 const WATCH_EVERY: Duration = Duration::from_millis(100);
+/// Age of a target's report of its load at which its health page is looked at.
+const REPORT_AGE: Duration = Duration::from_millis(40);
 
 /// What the service is asked and told.
 #[derive(Debug)]
@@ -45,8 +49,14 @@
     Claimed { ticket: Ticket, claimed: Claimed },
     /// A request at the target has ended.
     Ran { ticket: Ticket, run: Run, service: Duration },
-    /// The target takes connections, or does not.
-    Reachable(bool),
+    /// A look at the target has ended.
+    Looked { instance: Box<str>, look: Look },
+    /// Give the target if a look at it is due.
+    Due { reply: Reply<Option<Due>> },
+    /// The target says something of itself. The answer tells that it is known.
+    Notice { notice: Notice, reply: Reply<()> },
+    /// Paths of the health pages, by service.
+    HealthPaths(HashMap<Box<str>, Box<str>>),
     /// The target may have one more slot by now.
     WarmUp,
     /// News of crashes.
@@ -61,6 +71,13 @@
     State { reply: Reply<Status> },
 }
 
+/// A look at the target that is due.
+#[derive(Debug)]
+pub(crate) struct Due {
+    pub(crate) target: Target,
+    pub(crate) health_path: Option<Box<str>>,
+}
+
 /// The state of the guard for people.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Status {
@@ -77,9 +94,15 @@
     kernel: Kernel,
     mailbox: Mailbox<Ask>,
     tickets: Rc<Cell<Ticket>>,
+    service: Rc<RefCell<Box<str>>>,
 }
 
 impl Handle {
+    /// Service of the target beside this daemon; empty if there is none.
+    pub(crate) fn service(&self) -> Box<str> {
+        self.service.borrow().clone()
+    }
+
     /// Has the guard run a request. Dropping the future cancels it.
     pub(crate) async fn run(&self, request: Request) -> Option<Answer> {
         let ticket = self.tickets.get() + 1;
@@ -121,17 +144,21 @@
 pub(crate) fn start(
     kernel: &Kernel,
     node: Node,
-    target: Option<(Target, u16)>,
+    edge: Edge,
+    target: Option<&settings::Target>,
     discipline: Discipline,
 ) -> Handle {
     let inbox = kernel.register::<Ask>(names::GUARD);
     let mailbox = kernel.service::<Ask>(names::GUARD);
-    let (target, slots) = match target {
-        Some((target, slots)) => (Some(target), slots),
-        None => (None, 1),
-    };
-    if let Some(target) = &target {
-        kernel.start(watch(kernel.clone(), mailbox.clone(), target.clone()));
+    let slots = target.map_or(1, |target| target.slots);
+    let service = target.map_or("".into(), |target| target.service.clone());
+    let service = Rc::new(RefCell::new(service));
+    let target = target.map(|target| {
+        let identity = Identity { instance: "".into(), address: target.address };
+        Target::new(kernel, edge, identity, slots)
+    });
+    if target.is_some() {
+        kernel.start(watch(kernel.clone(), mailbox.clone()));
     }
     let task = Task {
         kernel: kernel.clone(),
@@ -139,30 +166,47 @@
         journal: kernel.service(names::JOURNAL),
         claims: Claims::new(kernel),
         node,
+        edge,
         is_reachable: false,
         target,
+        service: service.clone(),
+        standing: edge.read_notice.map(|_| Standing::default()),
+        health_paths: HashMap::new(),
+        report: None,
+        told: Load::default(),
+        works: Works::default(),
         gate: Gate::with_discipline(slots, discipline),
         ledger: Ledger::new(LEDGER_BYTES, LEDGER_AGE),
         holds: Holds::default(),
         jobs: HashMap::new(),
         joined: HashMap::new(),
         crash: HashSet::new(),
+        looked_at: None,
     };
     kernel.start(task.run(inbox));
-    Handle { kernel: kernel.clone(), mailbox: kernel.service(names::GUARD), tickets: Rc::default() }
+    Handle {
+        kernel: kernel.clone(),
+        mailbox: kernel.service(names::GUARD),
+        tickets: Rc::default(),
+        service,
+    }
 }
 
-/// Looks whether the target is there.
-async fn watch(kernel: Kernel, mailbox: Mailbox<Ask>, target: Target) {
-    let mut was_reachable = false;
+/// Has the target looked at whenever that is due.
+async fn watch(kernel: Kernel, mailbox: Mailbox<Ask>) {
     loop {
-        let is_reachable = target.is_reachable().await;
-        mailbox.send(Ask::Reachable(is_reachable));
-        let wait = match (is_reachable, was_reachable) {
-            (true, true) => WATCH_EVERY * 10,
-            _ => WATCH_EVERY,
-        };
-        was_reachable = is_reachable;
-        kernel.clock().sleep(wait).await;
+        if let Some(due) = mailbox.ask(|reply| Ask::Due { reply }).await.flatten() {
+            let instance = due.target.identity().instance.clone();
+            let look = due.target.look(due.health_path.as_deref()).await;
+            mailbox.send(Ask::Looked { instance, look });
+        }
+        kernel.clock().sleep(REPORT_AGE).await;
     }
 }
+
+/// What a target has last said of its load.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    pace: u16,
+    at: Instant,
+}
--- a/crates/daemon/src/guard/job.rs
+++ b/crates/daemon/src/guard/job.rs
@@ -16,6 +16,8 @@
     /// Tag of the claimed row; empty when there is none.
     pub(super) claim_tag: Box<str>,
     pub(super) nonce: u64,
+    /// Pace of the target when the request was sent there.
+    pub(super) pace: u16,
     /// The work under way; dropping it ends it.
     pub(super) _work: Option<kernel::Task<()>>,
 }
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -1,5 +1,6 @@
 //! The guard's task: which requests its target runs, and how they end.
 
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -7,18 +8,27 @@
 use admit::{Class, End, Gate, Holds, Next, Refusal, Ticket, Verdict, WARM_STEP};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use once::{Ledger, Lookup};
-use route::{Load, Node};
+use route::{Load, Node, USUAL_PACE, Works, pace_factor};
 use wire::{Answer, Outcome, Reason, Request};
 
 use super::job::{Job, Stage};
-use super::{Ask, Status};
+use super::standing::{Change, Standing};
+use super::{Ask, Due, Heard, REPORT_AGE, Status, WATCH_EVERY};
 use crate::claims::Claims;
+use crate::edge::{Announcement, Edge, Identity, Fate, Notice, TargetAnswer};
 use crate::journal::{self, Event};
-use crate::target::{Run, Target, Whole};
-use crate::{headers, membership, names};
+use crate::target::{Look, Run, Target};
+use crate::{membership, names};
 
 /// When to come back to a target that is down.
 pub(super) const DOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time between two looks at a target without a health page that is there.
+const OPEN_LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Factor by which the pace changes before other daemons are told at once.
+const PACE_NEWS_FACTOR: f64 = 1.4;
+/// Pace above which a request that may go elsewhere does so when it would miss
+/// its aim here, in percent.
+const SLOW_PACE: u16 = 150;
 
 /// The guard's task and what it owns.
 pub(super) struct Task {
@@ -27,8 +37,18 @@
     pub(super) journal: Mailbox<journal::Ask>,
     pub(super) claims: Claims,
     pub(super) node: Node,
+    pub(super) edge: Edge,
     pub(super) is_reachable: bool,
     pub(super) target: Option<Target>,
+    /// Service of the target, which the entry of this daemon reads, too.
+    pub(super) service: Rc<RefCell<Box<str>>>,
+    /// Which start of the target is served, where targets say so themselves.
+    pub(super) standing: Option<Standing>,
+    pub(super) health_paths: HashMap<Box<str>, Box<str>>,
+    pub(super) report: Option<Heard>,
+    /// The load that other daemons have been told last.
+    pub(super) told: Load,
+    pub(super) works: Works,
     pub(super) gate: Gate,
     pub(super) ledger: Ledger<Answer>,
     pub(super) holds: Holds,
@@ -37,6 +57,7 @@
     pub(super) joined: HashMap<Box<str>, Vec<(Ticket, Reply<Answer>)>>,
     /// Requests in flight at the latest crash, whose own end is still to come.
     pub(super) crash: HashSet<Ticket>,
+    pub(super) looked_at: Option<Instant>,
 }
 
 impl Task {
@@ -44,6 +65,7 @@
         while let Some(ask) = inbox.receive().await {
             self.take(ask);
             self.start_waiting();
+            self.tell_load();
         }
     }
 
@@ -58,7 +80,13 @@
             Ask::Expire { ticket } => self.expire(ticket),
             Ask::Claimed { ticket, claimed } => self.claimed(ticket, claimed),
             Ask::Ran { ticket, run, service } => self.ran(ticket, run, service),
-            Ask::Reachable(is_reachable) => self.reachable(is_reachable),
+            Ask::Looked { instance, look } => self.looked(&instance, look),
+            Ask::Due { reply } => drop(reply.send(self.due_look())),
+            Ask::Notice { notice, reply } => {
+                self.notice(notice);
+                reply.send(());
+            }
+            Ask::HealthPaths(paths) => self.health_paths = paths,
             // What waits is looked at after each message.
             Ask::WarmUp => {}
             Ask::Holds(holds) => {
@@ -95,9 +123,25 @@
             slots: self.gate.slots(),
             service: self.gate.service(),
             leaving: self.gate.is_leaving(),
+            pace: self.report.map_or(0, |report| report.pace),
         }
     }
 
+    /// Tells other daemons at once of a pace that has changed much, and of a
+    /// target that has begun or ceased to take work.
+    fn tell_load(&mut self) {
+        let load = self.load();
+        let change = pace_factor(load.pace) / pace_factor(self.told.pace);
+        let has_changed = !(1.0 / PACE_NEWS_FACTOR..PACE_NEWS_FACTOR).contains(&change)
+            || load.leaving != self.told.leaving;
+        if !has_changed || self.target.is_none() {
+            return;
+        }
+        self.told = load;
+        let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
+        membership.send(membership::Ask::Load(load));
+    }
+
     pub(super) fn refusal(
         &self,
         outcome: Outcome,
@@ -120,10 +164,11 @@
             stage: Stage::Waiting,
             claim_tag: "".into(),
             nonce: fastrand::u64(..),
+            pace: 0,
             request: Rc::new(request),
             _work: None,
         };
-        match job.request.repeatable {
+        match job.request.repeatable || job.request.once {
             true => self.admit(ticket, job),
             false => self.arrive_once(ticket, job),
         }
@@ -143,7 +188,7 @@
         if let Some(left) = self.holds.held_for(now, request.fingerprint) {
             return not_run(Reason::Held, left);
         }
-        if self.gate.is_leaving() {
+        if self.gate.is_leaving() || *request.service != **self.service.borrow() {
             return not_run(Reason::Leaving, Duration::ZERO);
         }
         if !self.is_reachable {
@@ -164,6 +209,24 @@
             deadline: job.deadline,
             may_queue: job.request.may_queue || job.is_claimed(),
         };
+        if arrival.may_queue || !self.misses_aim(&job.request) {
+            self.arrive_at_gate(now, arrival, job);
+        } else {
+            self.refuse(job, Reason::Busy, self.gate.service());
+        }
+    }
+
+    /// Whether the target is so slow now that the answer would come too late to
+    /// be of full use.
+    fn misses_aim(&self, request: &Request) -> bool {
+        let pace = self.report.map_or(USUAL_PACE, |report| report.pace);
+        let usual = self.works.usual(&request.kind);
+        let is_late = |usual: Duration| usual.mul_f64(pace_factor(pace)) > request.aim;
+        pace > SLOW_PACE && usual.is_some_and(is_late)
+    }
+
+    fn arrive_at_gate(&mut self, now: Instant, arrival: admit::Request, job: Job) {
+        let ticket = arrival.ticket;
         let id = job.request.id.clone();
         match self.gate.arrive(now, arrival) {
             Verdict::Start => {
@@ -209,6 +272,7 @@
             return;
         };
         job.stage = Stage::Running;
+        job.pace = self.report.map_or(0, |report| report.pace);
         let (request, deadline) = (job.request.clone(), job.deadline);
         let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
         job._work = Some(self.kernel.spawn(async move {
@@ -230,8 +294,9 @@
         };
         let now = self.now();
         let end = match &run {
-            Run::Answered(whole) if is_shed(whole) => End::Shed,
-            Run::Answered(_) | Run::TooLarge => End::Answered(service),
+            Run::Answered(answer) if answer.fate == Fate::Ran => End::Answered(service),
+            Run::Answered(_) => End::Shed,
+            Run::TooLarge => End::Answered(service),
             _ => End::Broken,
         };
         self.gate.finish(now, ticket, end);
@@ -241,11 +306,7 @@
                 self.reachable(false);
                 self.refuse(job, Reason::Unreachable, DOWN_RETRY_AFTER);
             }
-            Run::Answered(whole) => {
-                self.holds.observe_answer(now, job.request.fingerprint);
-                let answer = self.answer_of(whole, service);
-                self.finish(job, answer);
-            }
+            Run::Answered(answer) => self.answered(now, job, answer, service),
             Run::TooLarge => {
                 let answer = self.refusal(Outcome::Ran, Reason::TooLarge, Duration::ZERO);
                 self.finish(job, answer);
@@ -262,19 +323,48 @@
         }
     }
 
-    fn answer_of(&self, whole: Whole, service: Duration) -> Answer {
-        let reason = match is_shed(&whole) {
-            true => Reason::TargetShed,
-            false => Reason::None,
+    fn answered(&mut self, now: Instant, job: Job, answer: TargetAnswer, service: Duration) {
+        self.observe_report(now, &answer);
+        match answer.fate {
+            Fate::Moved => {
+                self.moved();
+                self.refuse(job, Reason::Leaving, Duration::ZERO);
+            }
+            Fate::NotRun => {
+                let after = answer.retry_after.unwrap_or(self.gate.service());
+                self.refuse(job, Reason::TargetShed, after);
+            }
+            Fate::Shed | Fate::Ran => {
+                self.holds.observe_answer(now, job.request.fingerprint);
+                let pace = self.report.map_or(0, |report| report.pace);
+                if pace == job.pace && answer.status < 500 {
+                    self.works.observe(&job.request.kind, service, pace);
+                }
+                let answer = self.answer_of(answer, service);
+                self.finish(job, answer);
+            }
+        }
+    }
+
+    fn observe_report(&mut self, now: Instant, answer: &TargetAnswer) {
+        if let Some(report) = answer.report {
+            self.report = Some(Heard { pace: report.pace.unwrap_or(0), at: now });
+        }
+    }
+
+    fn answer_of(&self, answer: TargetAnswer, service: Duration) -> Answer {
+        let reason = match answer.fate {
+            Fate::Shed => Reason::TargetShed,
+            _ => Reason::None,
         };
         Answer {
             outcome: Outcome::Ran,
             reason,
-            status: whole.status,
-            headers: whole.headers,
-            body: whole.body,
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
             load: self.load(),
-            retry_after: whole.retry_after.unwrap_or_default(),
+            retry_after: answer.retry_after.unwrap_or_default(),
             node: self.node,
             service,
         }
@@ -287,7 +377,7 @@
         self.note(&request.id, Event::Ran { outcome, reason, status });
         metrics::counter!("bronzeport_guard_ran_total", "outcome" => journal::outcome_text(outcome))
             .increment(1);
-        if !request.repeatable {
+        if !request.repeatable && !request.once {
             let now = self.now();
             self.ledger.end(now, &request.id, answer.clone(), answer.body.len() + 512);
             self.answer_joined(&request.id, &answer);
@@ -317,6 +407,136 @@
         membership.send(membership::Ask::Spread(holds));
     }
 
+    /// The target, if a look at it is due.
+    fn due_look(&mut self) -> Option<Due> {
+        let now = self.now();
+        let health_path = self.health_paths.get(&**self.service.borrow()).cloned();
+        let every = match (self.is_reachable, &health_path) {
+            (true, None) => OPEN_LOOK_EVERY,
+            (true, Some(_)) => Duration::ZERO,
+            (false, _) => WATCH_EVERY,
+        };
+        let has_waited = self.looked_at.is_none_or(|at| now - at >= every);
+        let is_fresh = self.report.is_some_and(|report| now - report.at < REPORT_AGE);
+        if !has_waited || (is_fresh && self.is_reachable) {
+            return None;
+        }
+        self.looked_at = Some(now);
+        Some(Due { target: self.target.clone()?, health_path })
+    }
+
+    fn looked(&mut self, instance: &str, look: Look) {
+        let is_current =
+            self.target.as_ref().is_some_and(|target| *target.identity().instance == *instance);
+        if !is_current {
+            return;
+        }
+        match look {
+            Look::Open => self.reachable(self.standing.is_none()),
+            Look::Unreachable => self.reachable(false),
+            Look::Silent => {}
+            Look::Seen(answer) => self.seen(answer),
+        }
+    }
+
+    /// The health page has answered. It may lie, so that a start that has
+    /// announced itself stays in use; before that the page is all that is known.
+    fn seen(&mut self, answer: TargetAnswer) {
+        let now = self.now();
+        self.observe_report(now, &answer);
+        let (Some(standing), Some(target)) = (&mut self.standing, &self.target) else {
+            return;
+        };
+        let found = answer.instance.zip(answer.report);
+        if let Some((instance, report)) = found.filter(|_| answer.status == 200) {
+            let guess = Announcement {
+                instance,
+                service: self.service.borrow().clone(),
+                address: target.identity().address,
+                slots: report.slots.max(1),
+                is_leaving: false,
+                started: 0,
+                sequence: 0,
+                cold_for: Duration::ZERO,
+            };
+            if standing.guess(guess) == Change::Started {
+                self.started();
+            }
+        }
+        if self.standing.as_ref().is_some_and(Standing::takes_work) {
+            self.reachable(true);
+        }
+    }
+
+    /// Takes in what the target says of itself.
+    fn notice(&mut self, notice: Notice) {
+        let Some(standing) = &mut self.standing else {
+            return;
+        };
+        let change = standing.hear(notice);
+        match change {
+            Change::Started => self.started(),
+            Change::Leaving => self.leaving(),
+            Change::Confirmed => self.reachable(true),
+            Change::Stale => metrics::counter!("bronzeport_stale_notices_total").increment(1),
+        }
+    }
+
+    /// A start of the target is served that was not known.
+    fn started(&mut self) {
+        let Some(current) = self.standing.as_ref().and_then(Standing::current).cloned() else {
+            return;
+        };
+        log::info!(
+            "the target {} of {} at {} is served",
+            current.instance,
+            current.service,
+            current.address
+        );
+        let identity = Identity { instance: current.instance, address: current.address };
+        self.target = Some(Target::new(&self.kernel, self.edge, identity, current.slots));
+        self.gate.reopen(current.slots, !current.cold_for.is_zero());
+        let has_changed = **self.service.borrow() != *current.service;
+        if has_changed {
+            *self.service.borrow_mut() = current.service.clone();
+        }
+        let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
+        let (service, slots) = (current.service, current.slots);
+        membership.send(membership::Ask::Serve { service, slots });
+        self.is_reachable = false;
+        self.reachable(true);
+    }
+
+    /// The target takes no new work. What waits goes elsewhere.
+    fn leaving(&mut self) {
+        if self.gate.is_leaving() {
+            return;
+        }
+        log::info!("the target is leaving");
+        self.gate.leave();
+        let is_waiting = |(_, job): &(&Ticket, &Job)| job.stage == Stage::Waiting && !job.is_claimed();
+        let waiting: Vec<Ticket> =
+            self.jobs.iter().filter(is_waiting).map(|(ticket, _)| *ticket).collect();
+        for ticket in waiting {
+            self.gate.withdraw(ticket);
+            if let Some(job) = self.jobs.remove(&ticket) {
+                self.refuse(job, Reason::Leaving, Duration::ZERO);
+            }
+        }
+    }
+
+    /// The address belongs to another target: it is looked at before any more
+    /// is sent there.
+    fn moved(&mut self) {
+        let instance = self.target.as_ref().map(|target| target.identity().instance.clone());
+        if let (Some(standing), Some(instance)) = (&mut self.standing, instance)
+            && standing.forget(&instance)
+        {
+            log::warn!("the target {instance} is not at its address any more");
+            self.reachable(false);
+        }
+    }
+
     fn reachable(&mut self, is_reachable: bool) {
         if is_reachable == self.is_reachable {
             return;
@@ -326,7 +546,9 @@
             true => {
                 log::info!("the target takes connections");
                 self.crash.clear();
-                self.gate.restart();
+                if self.standing.is_none() {
+                    self.gate.restart();
+                }
                 self.start_warm_up();
             }
             false => log::warn!("the target takes no connections"),
@@ -351,7 +573,8 @@
             self.leave_joined(ticket, None);
             return;
         };
-        if !job.request.repeatable {
+        let is_kept = !job.request.repeatable && !job.request.once;
+        if is_kept || (job.request.once && job.stage == Stage::Running) {
             // It goes on: its outcome is kept for the caller's next copy.
             job.reply = None;
             return;
@@ -386,9 +609,3 @@
         }
     }
 }
-
-/// Whether a target asks for less load instead of running the request. An
-/// answer that came from further down the chain says nothing about it.
-fn is_shed(whole: &Whole) -> bool {
-    whole.status == 503 && whole.retry_after.is_some() && !headers::is_from_below(&whole.headers)
-}
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -184,5 +184,6 @@
         Reason::BadRequest => "bad-request",
         Reason::UnknownPath => "unknown-path",
         Reason::NotReady => "not-ready",
+        Reason::Slow => "slow",
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,8 +16,10 @@
 mod admin;
 mod attempt;
 mod call;
+mod callers;
 mod claims;
 mod configuration;
+pub mod edge;
 mod entry;
 mod guard;
 mod headers;
@@ -26,10 +28,10 @@
 mod names;
 pub mod node;
 mod peers;
-mod response;
 mod router;
 pub mod settings;
-mod store;
+mod storage;
+mod surroundings;
 mod target;
 
 /// Starts the log that the settings ask for.
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -8,12 +8,12 @@
 use futures_lite::FutureExt;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::{Action, Kind, Member, Members, Message, State};
-use platform::{Condition, Write};
-use route::Node;
+use route::{Load, Node};
+use store::{Condition, Write};
 use tokio::net::UdpSocket;
 use wire::{Gossip, MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
 
-use crate::{configuration, guard, names, peers, router, store};
+use crate::{configuration, guard, names, peers, router, storage};
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
@@ -33,9 +33,19 @@
 /// Rows in the table by which new daemons find a first member, for each data
 /// centre, and writes of them that the whole fleet makes in a second.
 const TABLE_ROWS: u64 = 16;
-const FLEET_ANNOUNCEMENTS_PER_SECOND: f64 = 10.0;
-const ANNOUNCE_MIN: Duration = Duration::from_secs(10);
-const MEMBER_PREFIX: &str = "member/";
+/// Each call to the store is paid for, so that a fleet renews one row a minute.
+const FLEET_ANNOUNCEMENTS_PER_SECOND: f64 = 1.0 / 60.0;
+const ANNOUNCE_MIN: Duration = Duration::from_secs(60);
+/// First and longest pause before the table is read again by a daemon that knows
+/// no other.
+const JOIN_PAUSE_MIN: Duration = Duration::from_millis(500);
+const JOIN_PAUSE_MAX: Duration = Duration::from_secs(2);
+/// Members that are told of the load of this daemon's target at once.
+const LOAD_NEAR: usize = 12;
+const LOAD_FAR: usize = 12;
+/// Members that a daemon greets when it has learned of them.
+const GREETED: usize = 12;
+const MEMBER_TABLE: &str = "member";
 
 /// What the service is asked and told.
 pub(crate) enum Ask {
@@ -55,6 +65,10 @@
     Revision(u64),
     /// Tell everybody of crashes.
     Spread(Vec<Hold>),
+    /// The load of this daemon's target has changed much.
+    Load(Load),
+    /// The target of this node answers for this service.
+    Serve { service: Box<str>, slots: u16 },
     /// Announce that this node is leaving.
     Leave,
     /// Announce that this node has left.
@@ -87,6 +101,7 @@
         told_at: None,
         revision: 0,
         holds: Vec::new(),
+        load: None,
         gone: HashSet::new(),
     };
     kernel.start(task.run(inbox));
@@ -103,6 +118,7 @@
     told_at: Option<Instant>,
     revision: u64,
     holds: Vec<(Hold, u32)>,
+    load: Option<Load>,
     gone: HashSet<Node>,
 }
 
@@ -155,7 +171,10 @@
                 reply.send(self.members.differing(&digests, SYNC_PAGE));
             }
             Ask::Learn(list) => {
-                self.members.merge(now, list);
+                if self.members.merge(now, list) {
+                    let actions = self.members.spread(GREETED, GREETED);
+                    self.act(actions);
+                }
             }
             Ask::Revision(revision) => {
                 self.revision = self.revision.max(revision);
@@ -165,6 +184,15 @@
                 self.holds.extend(holds.into_iter().map(|hold| (hold, HOLD_SENDS)));
                 self.spread();
             }
+            Ask::Load(load) => {
+                self.load = Some(load);
+                let actions = self.members.spread(LOAD_NEAR, LOAD_FAR);
+                self.act(actions);
+            }
+            Ask::Serve { service, slots } => {
+                self.members.serve(service, slots);
+                self.spread();
+            }
             Ask::Leave => {
                 self.members.leave();
                 self.spread();
@@ -195,6 +223,10 @@
             return;
         };
         self.hear_holds(gossip.holds);
+        if let Some(load) = gossip.load {
+            let router: Mailbox<router::Ask> = self.kernel.service(names::ROUTER);
+            router.send(router::Ask::Heard { node: sender.node, load });
+        }
         if gossip.revision > self.revision {
             let configuration: Mailbox<configuration::Ask> =
                 self.kernel.service(names::CONFIGURATION);
@@ -250,6 +282,7 @@
             updates: self.members.take_news(),
             holds: self.take_holds(),
             digest: self.members.digest(),
+            load: self.load,
         };
         let bytes = encode_gossip(&gossip);
         metrics::counter!("bronzeport_gossip_sent_bytes_total").increment(bytes.len() as u64);
@@ -289,8 +322,8 @@
             .all()
             .map(|member| (member.clone(), self.members.rtt(&member.data_centre)));
         router.send(router::Ask::Members(served.collect()));
-        let store: Mailbox<store::Ask> = self.kernel.service(names::STORE);
-        store.send(store::Ask::Members(count));
+        let store: Mailbox<storage::Ask> = self.kernel.service(names::STORE);
+        store.send(storage::Ask::Members(count));
         let configuration: Mailbox<configuration::Ask> = self.kernel.service(names::CONFIGURATION);
         configuration.send(configuration::Ask::Members(count));
         self.forget_gone();
@@ -346,58 +379,63 @@
     membership.ask(|reply| Ask::Digests { reply }).await.unwrap_or_default()
 }
 
-/// Finds first members by the settings or the table, and keeps this node's row
-/// in the table.
+/// Keeps this node's row in the table, and finds first members by the settings
+/// or the table. The row is written before the table is read, so that of two
+/// daemons that start at once one finds the other.
 async fn join(kernel: Kernel, membership: Mailbox<Ask>, first_peers: Vec<SocketAddr>) {
-    let mut turn = 0;
+    let mut pause = JOIN_PAUSE_MIN;
+    let mut is_announced = announce(&kernel, &membership).await;
     loop {
         let count = membership.ask(|reply| Ask::Count { reply }).await.unwrap_or(1);
         if count <= 1 {
             let mut addresses: Vec<Box<str>> =
                 first_peers.iter().map(|address| address.to_string().into()).collect();
             addresses.extend(read_table(&kernel).await);
-            for address in addresses {
-                sync(kernel.clone(), address).await;
-            }
+            let syncs = addresses.into_iter().map(|address| sync(kernel.clone(), address));
+            futures::future::join_all(syncs).await;
         }
-        if turn % 2 == 0 {
-            announce(&kernel, &membership).await;
-        }
-        turn += 1;
-        let wait = match count <= 1 {
-            true => Duration::from_millis(500),
-            false => {
+        let wait = match (count <= 1, is_announced) {
+            (true, _) | (_, false) => {
+                pause = (pause * 2).min(JOIN_PAUSE_MAX);
+                pause
+            }
+            (false, true) => {
                 let every = Duration::from_secs_f64(count as f64 / FLEET_ANNOUNCEMENTS_PER_SECOND);
-                every.max(ANNOUNCE_MIN).mul_f64(0.5 + fastrand::f64())
+                every.max(ANNOUNCE_MIN)
             }
         };
-        kernel.clock().sleep(wait).await;
+        kernel.clock().sleep(wait.mul_f64(0.5 + fastrand::f64())).await;
+        if count > 1 || !is_announced {
+            is_announced = announce(&kernel, &membership).await;
+        }
     }
 }
 
 async fn read_table(kernel: &Kernel) -> Vec<Box<str>> {
-    let store: Mailbox<store::Ask> = kernel.service(names::STORE);
-    let ask = |reply| store::Ask::List {
-        prefix: MEMBER_PREFIX.into(),
-        after: "".into(),
-        limit: 64,
-        reply,
-    };
-    let rows = store.ask(ask).await.and_then(Result::ok).unwrap_or_default();
-    rows.into_iter().map(|row| row.value).collect()
+    let store: Mailbox<storage::Ask> = kernel.service(names::STORE);
+    let ask = |reply| storage::Ask::Table { table: MEMBER_TABLE.into(), limit: 500, reply };
+    match store.ask(ask).await {
+        Some(Ok(rows)) => rows.rows.into_iter().map(|row| row.value).collect(),
+        Some(Err(failure)) => {
+            log::info!("the table of members is not read: {failure}");
+            Vec::new()
+        }
+        None => Vec::new(),
+    }
 }
 
-async fn announce(kernel: &Kernel, membership: &Mailbox<Ask>) {
+/// Writes this node's row. `false` when it is not known to be written.
+async fn announce(kernel: &Kernel, membership: &Mailbox<Ask>) -> bool {
     let Some(own) = membership.ask(|reply| Ask::Own { reply }).await else {
-        return;
+        return false;
     };
     let place = own.node % TABLE_ROWS;
     let write = Write {
-        key: format!("{MEMBER_PREFIX}{}/{place:02}", own.data_centre).into(),
+        key: format!("{MEMBER_TABLE}/{}/{place:02}", own.data_centre).into(),
         condition: Condition::Always,
         value: own.address,
     };
-    let store: Mailbox<store::Ask> = kernel.service(names::STORE);
-    // Whether it was written does not matter: the next round writes it again.
-    let _ = store.ask(|reply| store::Ask::Commit { write, reply }).await;
+    let rows: Mailbox<storage::Ask> = kernel.service(names::STORE);
+    let commit = rows.ask(|reply| storage::Ask::Commit { write, reply }).await;
+    matches!(commit, Some(store::Commit::Done(_)))
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,16 +10,18 @@
 use kernel::{Kernel, Mailbox, Signals};
 use member::{Member, State};
 use metrics_exporter_prometheus::PrometheusBuilder;
-use platform::Store;
 use route::Policy;
+use store::Store;
 use tokio::net::TcpStream;
 use web::{Limits, Serving};
 use wire::{Answering, Question, Reply};
 
 use crate::entry::Entry;
 use crate::settings::Settings;
-use crate::target::Target;
-use crate::{admin, configuration, guard, journal, membership, names, peers, router, store};
+use crate::edge::Edge;
+use crate::{
+    admin, configuration, guard, journal, membership, names, peers, router, storage, surroundings,
+};
 
 /// Bounds of what callers may take up.
 const CALLER_LIMITS: Limits = Limits {
@@ -32,8 +34,6 @@
 const MAX_PEER_CONNECTIONS: usize = 8192;
 /// Time limit of a peer's hello.
 const HELLO_TIME: Duration = Duration::from_secs(2);
-/// Time after the announcement in which others still send calls.
-const LINGER: Duration = Duration::from_secs(1);
 /// Time between two looks whether all requests are finished.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -61,7 +61,7 @@
 
 impl std::error::Error for StartError {}
 
-trait Describe<T> {
+pub(crate) trait Describe<T> {
     fn describe(self, what: impl FnOnce() -> String) -> Result<T, StartError>;
 }
 
@@ -72,7 +72,7 @@
 }
 
 /// Runs a daemon until a signal has stopped it.
-pub fn run(settings: Settings) -> Result<Stopped, StartError> {
+pub fn run(settings: Settings, edge: Edge) -> Result<Stopped, StartError> {
     let kernel = Kernel::new().describe(|| "runtime".into())?;
     let seed = match settings.seed {
         0 => fastrand::u64(..),
@@ -82,10 +82,10 @@
     let node = new_node();
     let main = async {
         let mut signals = Signals::subscribe().describe(|| "signals".into())?;
-        let running = start(&kernel, &settings, node, seed)?;
+        let running = start(&kernel, &settings, edge, node, seed)?;
         log::info!("node {node:016x} serves callers at {}", settings.listen);
         signals.next().await;
-        Ok(stop(&kernel, running, &mut signals, settings.stop_within).await)
+        Ok(stop(&kernel, running, &mut signals, &settings).await)
     };
     kernel.run(main)
 }
@@ -93,11 +93,13 @@
 struct Running {
     entry: Rc<Entry>,
     callers: Serving,
+    surroundings: surroundings::Open,
 }
 
 fn start(
     kernel: &Kernel,
     settings: &Settings,
+    edge: Edge,
     node: u64,
     seed: u64,
 ) -> Result<Running, StartError> {
@@ -111,12 +113,11 @@
         .map_err(|error| io::Error::other(error.to_string()))
         .describe(|| "metrics".into())?;
 
-    store::start(kernel, settings.platform.map(|at| Store::new(platform::Settings::at(at))));
+    let store = settings.platform.map(|at| store::Settings::at(at, edge.store));
+    storage::start(kernel, store.map(|settings| Store::new(kernel, settings)));
     journal::start(kernel);
     peers::start(kernel);
     router::start(kernel, settings.policy, seed);
-    let target = settings.target.as_ref();
-    let target = target.map(|target| (Target::new(kernel, target), target.slots));
     let discipline = match settings.policy {
         Policy::Bronzeport => Discipline::Deadline,
         _ => Discipline::Fifo,
@@ -124,12 +125,13 @@
     let own = own_member(settings, node);
     let first_peers = settings.peers.clone();
     membership::start(kernel, socket, own, first_peers, seed).describe(|| "gossip".into())?;
-    let guard = guard::start(kernel, node, target, discipline);
-    configuration::start(kernel, &settings.peers);
+    let guard = guard::start(kernel, node, edge, settings.target.as_ref(), discipline);
+    configuration::start(kernel, edge, &settings.peers);
     serve_peers(kernel, peer_listener, node, guard.clone()).describe(|| "daemons' port".into())?;
     admin::start(kernel, pages, node, metrics).describe(|| "admin pages".into())?;
 
-    let entry = Entry::new(kernel, node, settings.max_depth, guard);
+    let surroundings = surroundings::open(kernel, settings, edge)?;
+    let entry = Entry::new(kernel, node, edge, settings.max_depth, guard);
     let handler = entry.clone();
     let callers = web::serve(
         kernel,
@@ -138,7 +140,7 @@
         Rc::new(move |request, _| Box::pin(handler.clone().handle(request))),
     )
     .describe(|| "callers' port".into())?;
-    Ok(Running { entry, callers })
+    Ok(Running { entry, callers, surroundings })
 }
 
 /// Announces that the target takes no new work.
@@ -155,16 +157,25 @@
     kernel: &Kernel,
     running: Running,
     signals: &mut Signals,
-    within: Duration,
+    settings: &Settings,
 ) -> Stopped {
+    let within = settings.stop_within;
     leave(kernel);
-    let Running { entry, callers } = running;
-    // Callers that connect now go to another daemon; those that are connected
-    // are served once more, and told to close.
-    drop(callers);
+    let Running { entry, callers, surroundings } = running;
+    surroundings.leave();
+    // Callers that are connected are served once more, and told to close. Where
+    // something asks for readiness, it takes a while until no new ones come.
+    let callers = match settings.ready {
+        Some(_) => Some(callers),
+        None => {
+            drop(callers);
+            None
+        }
+    };
     entry.leave();
     let finish = async {
-        kernel.clock().sleep(LINGER.min(within)).await;
+        kernel.clock().sleep(settings.linger.min(within)).await;
+        drop(callers);
         entry.refuse();
         while in_flight(kernel, &entry).await > 0 {
             kernel.clock().sleep(STOP_POLL).await;
@@ -193,7 +204,7 @@
     entry.in_flight() + guarded
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).describe(|| format!("cannot listen on {address}"))
 }
 
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,14 +9,18 @@
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::Member;
 use route::{
-    Attempt, Budgets, Call, Choice, Ending, Load, Node, Policy, Pool, Retry, Situation, Target,
-    decide_retry,
+    Attempt, Budgets, Call, Choice, Ending, Load, Node, Policy, Pool, Retry, Shares, Situation,
+    Target, decide_retry,
 };
 
 use crate::{names, peers};
 
 /// Time limit of a probe.
 const PROBE_TIME: Duration = Duration::from_millis(500);
+/// What the services of a table of paths may spend beyond one attempt for each
+/// call. The platform bounds all arrivals beyond the first to a fifth of the
+/// calls; calls that a repeated run makes count, too.
+const TABLE_SHARES: Shares = Shares { probes: 0.0, retries: 0.04, hedges: 0.02 };
 /// Age of polled reports under the two-choices policy.
 const POLL_EVERY: Duration = Duration::from_millis(100);
 
@@ -35,6 +39,8 @@
     /// Choose a target for a hedge beside `tried`.
     Hedge {
         service: Box<str>,
+        /// Name of the call's rule or path.
+        kind: Box<str>,
         tried: Vec<Node>,
         /// Whether the retry budget may pay for it.
         is_very_late: bool,
@@ -46,6 +52,8 @@
     Retry { service: Box<str>, situation: Situation, reply: Reply<Retry> },
     /// A probe has brought a report.
     Probed { service: Box<str>, node: Node, load: Load },
+    /// A guard has told its load.
+    Heard { node: Node, load: Load },
     /// Whether a request is held back, and for how long.
     Held { fingerprint: u64, reply: Reply<Option<Duration>> },
     /// A request was answered: it crashes nothing.
@@ -56,6 +64,8 @@
     Members(Vec<(Member, Duration)>),
     /// All services in force.
     Services(Vec<Rc<Service>>),
+    /// Services that paths of the table lead to.
+    Endpoints(Vec<Box<str>>),
     /// Find the address of a node.
     Address { node: Node, reply: Reply<Option<Box<str>>> },
     /// Time to poll reports, under the two-choices policy.
@@ -85,6 +95,7 @@
         members: HashMap::new(),
         pools: HashMap::new(),
         services: HashMap::new(),
+        endpoints: Vec::new(),
         holds: Holds::default(),
     };
     kernel.start(task.run(inbox));
@@ -107,9 +118,18 @@
     members: HashMap<Node, (Member, Duration)>,
     pools: HashMap<Box<str>, Pool>,
     services: HashMap<Box<str>, Rc<Service>>,
+    endpoints: Vec<Box<str>>,
     holds: Holds,
 }
 
+fn shares_of(service: &Service) -> Shares {
+    Shares {
+        probes: service.probe_share,
+        retries: service.retry_share,
+        hedges: service.hedge_share,
+    }
+}
+
 impl Task {
     async fn run(mut self, inbox: Inbox<Ask>) {
         while let Some(ask) = inbox.receive().await {
@@ -125,13 +145,14 @@
         let now = self.now();
         match ask {
             Ask::Choose { service, tried, is_first, call, reply } => {
-                let route = self.choose(now, &service, &tried, is_first, call);
-                self.give(now, service, route, call.may_wait, reply);
+                let route = self.choose(now, &service, &tried, is_first, &call);
+                self.give(now, service, route, &call, reply);
             }
-            Ask::Hedge { service, tried, is_very_late, reply } => {
-                let node = self.pool(&service).decide_hedge(now, &tried, is_very_late);
+            Ask::Hedge { service, kind, tried, is_very_late, reply } => {
+                let call = Call { may_wait: false, repeatable: true, kind };
+                let node = self.pool(&service).decide_hedge(now, &tried, &call, is_very_late);
                 let route = node.map(|node| (node, false));
-                self.give(now, service, route, false, reply);
+                self.give(now, service, route, &call, reply);
             }
             Ask::End { service, node, attempt, ending, load } => {
                 let pool = self.pool(&service);
@@ -147,6 +168,12 @@
             Ask::Probed { service, node, load } => {
                 self.pool(&service).observe_load(now, node, load);
             }
+            Ask::Heard { node, load } => {
+                let service = self.members.get(&node).map(|(member, _)| member.service.clone());
+                if let Some(service) = service {
+                    self.pool(&service).observe_load(now, node, load);
+                }
+            }
             Ask::Held { fingerprint, reply } => {
                 reply.send(self.holds.held_for(now, fingerprint));
             }
@@ -158,6 +185,13 @@
             }
             Ask::Members(members) => self.set_members(members),
             Ask::Services(services) => self.set_services(services),
+            Ask::Endpoints(endpoints) => {
+                self.endpoints = endpoints;
+                let pools = self.pools.iter_mut();
+                for (_, pool) in pools.filter(|(name, _)| self.endpoints.contains(name)) {
+                    pool.budgets.set_shares(TABLE_SHARES);
+                }
+            }
             Ask::Address { node, reply } => {
                 let member = self.members.get(&node);
                 reply.send(member.map(|(member, _)| member.address.clone()));
@@ -172,7 +206,7 @@
         service: &str,
         tried: &[Node],
         is_first: bool,
-        call: Call,
+        call: &Call,
     ) -> Option<(Node, bool)> {
         if is_first {
             self.pool(service).budgets.earn();
@@ -197,7 +231,7 @@
         now: Instant,
         service: Box<str>,
         chosen: Option<(Node, bool)>,
-        may_wait: bool,
+        call: &Call,
         reply: Reply<Option<Route>>,
     ) {
         let route = chosen.and_then(|(node, may_queue)| {
@@ -207,9 +241,9 @@
             Some(Route {
                 node,
                 address,
-                attempt: pool.begin(now, node, may_wait),
+                attempt: pool.begin(now, node, call),
                 may_queue,
-                hedge_after: hedges.then(|| pool.hedge_after()),
+                hedge_after: hedges.then(|| pool.hedge_after(call)),
             })
         });
         let given = route.as_ref().map(|route| (route.node, route.attempt));
@@ -230,7 +264,10 @@
 
     fn budgets(&self, service: &str) -> Budgets {
         match self.services.get(service) {
-            Some(s) => Budgets::new(s.probe_share, s.retry_share, s.hedge_share),
+            Some(s) => Budgets::new(shares_of(s)),
+            None if self.endpoints.iter().any(|known| **known == *service) => {
+                Budgets::new(TABLE_SHARES)
+            }
             None => Budgets::default(),
         }
     }
@@ -261,9 +298,7 @@
         self.services = services.collect();
         for (name, pool) in &mut self.pools {
             if let Some(service) = self.services.get(name) {
-                pool.budgets.probes.set_share(service.probe_share);
-                pool.budgets.retries.set_share(service.retry_share);
-                pool.budgets.hedges.set_share(service.hedge_share);
+                pool.budgets.set_shares(shares_of(service));
             }
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -35,6 +35,23 @@
     pub max_depth: u8,
     /// Filter of log lines.
     pub log: Box<str>,
+    /// How callers and targets speak.
+    pub interface: Interface,
+    /// Address where the target announces itself, if it does.
+    pub announce: Option<SocketAddr>,
+    /// Address that tells whether the daemon takes calls, beside its own pages.
+    pub ready: Option<SocketAddr>,
+    /// Time after the announcement of a stop in which callers still come.
+    pub linger: Duration,
+}
+
+/// How callers and targets speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Interface {
+    /// The project's own interface.
+    Callers,
+    /// That of the users' platform.
+    Platform,
 }
 
 /// The target beside a daemon.
@@ -90,7 +107,7 @@
     Setting { flag, unit, default, help }
 }
 
-const SETTINGS: [Setting; 15] = [
+const SETTINGS: [Setting; 19] = [
     setting("listen", "IP:PORT", "127.0.0.1:8000", "address for callers"),
     setting("peer-listen", "IP:PORT", "127.0.0.1:8100", "address for other daemons, TCP and UDP"),
     setting("admin", "IP:PORT", "127.0.0.1:8200", "address of the daemon's own pages"),
@@ -114,6 +131,10 @@
         "30",
         "longest wait for requests in flight at a stop, 0 to 3600",
     ),
+    setting("linger", "seconds", "1", "time in which callers still come at a stop, 0 to 60"),
+    setting("interface", "name", "callers", "how callers and targets speak: callers, platform"),
+    setting("announce", "IP:PORT", "", "address where the target announces itself"),
+    setting("ready", "IP:PORT", "", "address that tells whether calls are taken"),
     setting("max-depth", "calls", "32", "greatest depth of a chain of calls, 1 to 255"),
     setting("log", "level", "info", "log lines to write: error, warn, info, debug"),
 ];
@@ -262,6 +283,21 @@
         })
     }
 
+    /// A time in seconds, with or without its unit: `6`, `6s`, `1.5s`, `1500ms`.
+    fn seconds(&mut self, flag: &str, most: f64) -> Option<Duration> {
+        self.require(flag, |text| {
+            let (number, unit) = match text.strip_suffix("ms") {
+                Some(number) => (number, 1e-3),
+                None => (text.strip_suffix('s').unwrap_or(text), 1.0),
+            };
+            let seconds = number.parse::<f64>().ok().map(|number| number * unit);
+            let seconds = seconds.filter(|seconds| (0.0..=most).contains(seconds));
+            seconds
+                .map(Duration::from_secs_f64)
+                .ok_or_else(|| format!("expected a number from 0 to {most}").into())
+        })
+    }
+
     fn target(&mut self) -> Option<Target> {
         let service = self.parse("service", scan_name);
         let address = self.parse("target", scan_address);
@@ -295,9 +331,13 @@
         let peers = raw.parse("peers", scan_addresses);
         let policy = raw.require("policy", |text| Policy::try_from(text));
         let seed = raw.number("seed", 0, u64::MAX);
-        let stop_within = raw.number("stop-within", 0, 3600);
+        let stop_within = raw.seconds("stop-within", 3600.0);
         let max_depth = raw.number("max-depth", 1, 255);
         let log = raw.require("log", scan_level);
+        let linger = raw.seconds("linger", 60.0);
+        let interface = raw.require("interface", |text| Interface::try_from(text));
+        let announce = raw.parse("announce", scan_address);
+        let ready = raw.parse("ready", scan_address);
         let settings = (|| {
             Some(Self {
                 listen: listen?,
@@ -309,9 +349,13 @@
                 peers: peers.unwrap_or_default(),
                 policy: policy?,
                 seed: seed?,
-                stop_within: Duration::from_secs(stop_within?),
+                stop_within: stop_within?,
                 max_depth: max_depth? as u8,
                 log: log?,
+                interface: interface?,
+                announce,
+                ready,
+                linger: linger?,
             })
         })();
         match settings {
@@ -321,6 +365,18 @@
     }
 }
 
+impl TryFrom<&str> for Interface {
+    type Error = Box<str>;
+
+    fn try_from(name: &str) -> Result<Self, Box<str>> {
+        match name {
+            "callers" => Ok(Self::Callers),
+            "platform" => Ok(Self::Platform),
+            _ => Err("expected callers or platform".into()),
+        }
+    }
+}
+
 fn variable_of(flag: &str) -> String {
     format!("BRONZEPORT_{}", flag.replace('-', "_").to_uppercase())
 }
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/storage.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use platform::{Batch, Commit, Failure, Row, Store, Write, commit_each};
+use store::{Batch, Commit, Failure, Row, Rows, Store, Version, Write, commit_each};
 
 use crate::names;
 
@@ -26,6 +26,15 @@
         limit: usize,
         reply: Reply<Result<Vec<Row>, Failure>>,
     },
+    /// Read a small table whole.
+    Table { table: Box<str>, limit: usize, reply: Reply<Result<Rows, Failure>> },
+    /// Wait for changes of a table after a version.
+    Feed {
+        table: Box<str>,
+        after: Version,
+        wait: Duration,
+        reply: Reply<Result<Rows, Failure>>,
+    },
     /// Write a row; it may share a transaction with others.
     Commit { write: Write, reply: Reply<Commit> },
     /// A transaction has ended.
@@ -84,6 +93,18 @@
                 }),
                 Err(failure) => drop(reply.send(Err(failure))),
             },
+            Ask::Table { table, limit, reply } => match self.reading(now) {
+                Ok(store) => self.kernel.start(async move {
+                    reply.send(store.read_table(&table, limit).await);
+                }),
+                Err(failure) => drop(reply.send(Err(failure))),
+            },
+            Ask::Feed { table, after, wait, reply } => match self.reading(now) {
+                Ok(store) => self.kernel.start(async move {
+                    reply.send(store.feed(&table, after, wait).await);
+                }),
+                Err(failure) => drop(reply.send(Err(failure))),
+            },
             Ask::Commit { write, reply } => self.commit(now, write, reply),
             Ask::Committed => {
                 self.is_committing = false;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -24,10 +24,12 @@
 mod clock;
 mod mailbox;
 mod registry;
+mod socket;
 mod stop;
 mod tasks;
 
 pub use clock::{Clock, Expired};
 pub use mailbox::{Inbox, Mailbox, Reply, Waiter, mailbox, reply};
+pub use socket::detect_silence;
 pub use stop::Signals;
 pub use tasks::{Kernel, Task};
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -107,7 +107,9 @@
 
     /// Takes in another member's list. What is new here is not told on: each
     /// member compares lists by itself.
-    pub fn merge(&mut self, now: Instant, list: Vec<Member>) {
+    ///
+    /// `true` when there was something new.
+    pub fn merge(&mut self, now: Instant, list: Vec<Member>) -> bool {
         let received = list.len();
         let mut has_news = false;
         for member in list {
@@ -116,6 +118,7 @@
         if has_news {
             self.detector.sync_soon(now, received);
         }
+        has_news
     }
 
     /// Takes in a statement about a member. `true` when it was news, which this
@@ -155,6 +158,19 @@
         self.learn(now, member);
     }
 
+    /// Announces that the target beside this node answers for a service.
+    pub fn serve(&mut self, service: Box<str>, slots: u16) {
+        if (&self.own.service, self.own.slots) == (&service, slots) {
+            return;
+        }
+        self.toggle_digest(&self.own.clone());
+        self.own = Member { service, slots, ..self.own.clone() };
+        self.own.incarnation += 1;
+        self.toggle_digest(&self.own.clone());
+        self.news.add(self.own.node, self.peers.len());
+        self.version += 1;
+    }
+
     /// Announces that this node takes no new work.
     pub fn leave(&mut self) {
         self.change_own(State::Leaving);
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -11,6 +11,17 @@
     tokens: f64,
 }
 
+/// What a service may spend, as shares of its calls in parts of 1.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shares {
+    /// Probes of guards whose load is not known well.
+    pub probes: f64,
+    /// Attempts after one that failed.
+    pub retries: f64,
+    /// Second attempts beside one that is late.
+    pub hedges: f64,
+}
+
 /// The budgets of one service.
 #[derive(Debug, Clone)]
 pub struct Budgets {
@@ -54,15 +65,22 @@
 }
 
 impl Budgets {
-    /// Budgets by their shares of calls, in parts of 1.
-    pub fn new(probes: f64, retries: f64, hedges: f64) -> Self {
+    /// Budgets by their shares of calls.
+    pub fn new(shares: Shares) -> Self {
         Self {
-            probes: Budget::new(probes),
-            retries: Budget::new(retries),
-            hedges: Budget::new(hedges),
+            probes: Budget::new(shares.probes),
+            retries: Budget::new(shares.retries),
+            hedges: Budget::new(shares.hedges),
         }
     }
 
+    /// Changes the shares and keeps the tokens.
+    pub fn set_shares(&mut self, shares: Shares) {
+        self.probes.set_share(shares.probes);
+        self.retries.set_share(shares.retries);
+        self.hedges.set_share(shares.hedges);
+    }
+
     /// Notes a call in each budget.
     pub fn earn(&mut self) {
         self.probes.earn();
@@ -73,6 +91,6 @@
 
 impl Default for Budgets {
     fn default() -> Self {
-        Self::new(0.01, 0.10, 0.02)
+        Self::new(Shares { probes: 0.01, retries: 0.10, hedges: 0.02 })
     }
 }
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::pool::Call;
+use crate::work::USUAL_PACE;
 use crate::{Attempt, Node};
 
 /// Weight of a new service time in the moving average.
@@ -17,6 +19,9 @@
 /// First and longest time of an ejection.
 const EJECT_MIN: Duration = Duration::from_millis(250);
 const EJECT_MAX: Duration = Duration::from_secs(10);
+/// Time constant in which a told pace fades into the pool's: above the time
+/// between two messages of daemons in touch.
+const PACE_MEMORY: Duration = Duration::from_secs(4);
 /// An own call older than this many times its expected time counts as late.
 const LATE_FACTOR: f64 = 3.0;
 
@@ -46,6 +51,9 @@
     pub service: Duration,
     /// The target is leaving.
     pub leaving: bool,
+    /// Time that work takes on the target's host at this moment, in percent of
+    /// the usual; 0 when it is not known.
+    pub pace: u16,
 }
 
 /// What the pool as a whole is like; it stands in for what is not known.
@@ -53,6 +61,10 @@
 pub(crate) struct Prior {
     pub(crate) occupancy: f64,
     pub(crate) service: Duration,
+    /// Average pace of the targets that tell theirs, in percent.
+    pub(crate) pace: f64,
+    /// Usual time of the calls in question, where it is known.
+    pub(crate) work: Option<Duration>,
 }
 
 /// A call of this entry that has no answer yet.
@@ -63,6 +75,7 @@
     /// Time in which its answer was expected when it was sent.
     expected: Duration,
     may_wait: bool,
+    kind: Box<str>,
 }
 
 impl Own {
@@ -154,20 +167,40 @@
         self.ejected_until.is_some_and(|until| now >= until) && !self.on_trial
     }
 
-    pub(crate) fn begin(&mut self, now: Instant, attempt: Attempt, prior: Prior, may_wait: bool) {
-        let expected = Duration::from_secs_f64(self.cost(now, prior, may_wait));
-        self.own.push(Own { attempt, sent: now, expected, may_wait });
+    pub(crate) fn begin(&mut self, now: Instant, attempt: Attempt, prior: Prior, call: &Call) {
+        let expected = Duration::from_secs_f64(self.cost(now, prior, call.may_wait));
+        let (may_wait, kind) = (call.may_wait, call.kind.clone());
+        self.own.push(Own { attempt, sent: now, expected, may_wait, kind });
         self.on_trial = self.ejected_until.is_some();
     }
 
-    pub(crate) fn end(&mut self, now: Instant, attempt: Attempt, is_abandoned: bool) {
-        let place = self.own.iter().position(|own| own.attempt == attempt);
-        let Some(own) = place.map(|place| self.own.swap_remove(place)) else {
-            return;
-        };
+    /// Ends an own call and gives its kind.
+    pub(crate) fn end(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        is_abandoned: bool,
+    ) -> Option<Box<str>> {
+        let place = self.own.iter().position(|own| own.attempt == attempt)?;
+        let own = self.own.swap_remove(place);
         if is_abandoned && own.is_late(now) {
             self.observe_at_least(now, now - own.sent);
         }
+        Some(own.kind)
+    }
+
+    /// The pace that the target has last told, in percent; 0 if none.
+    pub(crate) fn known_pace(&self) -> u16 {
+        self.report.map_or(0, |report| report.load.pace)
+    }
+
+    /// The time that the work takes at the target's pace, where both are known.
+    /// Changes of the pace are told at once, so that it fades slowly.
+    fn paced_service(&self, now: Instant, prior: Prior) -> Option<Duration> {
+        let report = self.report.filter(|report| report.load.pace > 0)?;
+        let known = fade(now - report.at, PACE_MEMORY);
+        let pace = f64::from(report.load.pace) * known + prior.pace * (1.0 - known);
+        Some(prior.work?.mul_f64(pace / f64::from(USUAL_PACE)))
     }
 
     pub(crate) fn observe_load(&mut self, now: Instant, load: Load) {
@@ -229,7 +262,10 @@
 
     /// The service time to expect.
     pub(crate) fn service(&self, now: Instant, prior: Prior) -> Duration {
-        let expected = prior.unless_far(self.faded_service(now, prior));
+        let expected = match self.paced_service(now, prior) {
+            Some(paced) => paced,
+            None => prior.unless_far(self.faded_service(now, prior)),
+        };
         let late = self.own.iter().filter(|own| own.is_late(now)).map(|own| now - own.sent);
         late.max().map_or(expected, |age| age.max(expected))
     }
@@ -272,7 +308,10 @@
         let occupancy = self.occupancy(now, prior) + behind;
         let wait = service * ((occupancy + 1.0 - slots) / slots).max(0.0);
         // Free slots are never certain: a fuller target is a worse bet.
-        let risk = service * RISK * (occupancy / slots).min(1.0).powi(2);
+        let risk = match self.known_pace() {
+            0 => service * RISK * (occupancy / slots).min(1.0).powi(2),
+            _ => service * crowding(occupancy / slots),
+        };
         let failing = 1.0 + f64::from(self.failures) * self.failure_freshness(now);
         (self.target.rtt.as_secs_f64() + service + wait + risk) * failing
     }
@@ -291,6 +330,16 @@
     }
 }
 
+/// Part of a service time by which other requests slow one down: each a little,
+/// those above the knee much more.
+fn crowding(load: f64) -> f64 {
+    load + KNEE_SLOPE * (load - KNEE).max(0.0)
+}
+
+/// Share of the slots above which many targets slow down, and by how much.
+const KNEE: f64 = 0.8;
+const KNEE_SLOPE: f64 = 4.0;
+
 /// Share of a service time added to the cost of a target with no free slot.
 const RISK: f64 = 1.0;
 
@@ -309,6 +358,7 @@
     /// The average of what is known of the targets.
     pub(crate) fn of<'a>(estimates: impl Iterator<Item = &'a Estimate>) -> Self {
         let (mut others, mut reports) = (0.0, 0.0);
+        let (mut paces, mut paced) = (0.0, 0.0);
         let mut services = Vec::new();
         for estimate in estimates {
             if let Some(known) = estimate.known_others() {
@@ -316,12 +366,18 @@
                 reports += 1.0;
             }
             services.extend(estimate.known_service());
+            if estimate.known_pace() > 0 {
+                paces += f64::from(estimate.known_pace());
+                paced += 1.0;
+            }
         }
         services.sort_unstable();
         let median = services.get(services.len() / 2).copied();
         Self {
             occupancy: if reports > 0.0 { others / reports } else { 0.0 },
             service: median.unwrap_or(FIRST_SERVICE),
+            pace: if paced > 0.0 { paces / paced } else { f64::from(USUAL_PACE) },
+            work: None,
         }
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,8 +12,8 @@
 //! let mut pool = Pool::new(Policy::Bronzeport, Budgets::default());
 //! pool.set_targets([Target { node: 1, rtt: Duration::from_micros(500), slots: 12 }]);
 //! let mut random = fastrand::Rng::with_seed(1);
-//! let call = Call { may_wait: false, repeatable: true };
-//! let choice = pool.choose(now, &mut random, &[], call);
+//! let call = Call { may_wait: false, repeatable: true, kind: "read".into() };
+//! let choice = pool.choose(now, &mut random, &[], &call);
 //! assert_eq!(choice, Choice::Send { node: 1, may_queue: true });
 //! ```
 
@@ -22,12 +22,14 @@
 mod policy;
 mod pool;
 mod retry;
+mod work;
 
-pub use budget::{Budget, Budgets};
+pub use budget::{Budget, Budgets, Shares};
 pub use estimate::{Load, Target};
 pub use policy::Policy;
 pub use pool::{Call, Choice, Ending, Pool};
 pub use retry::{Failure, Retry, Situation, decide_retry};
+pub use work::{USUAL_PACE, Works, pace_factor};
 
 /// Number of a node: one daemon and the target beside it.
 pub type Node = u64;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -6,12 +6,15 @@
 use crate::estimate::{Estimate, Load, Prior, Target};
 use crate::policy::Policy;
 use crate::retry::MAX_REDIRECTS;
+use crate::work::Works;
 use crate::{Attempt, Node};
 
 /// Knowledge older than this is worth a probe.
 const PROBE_AGE: Duration = Duration::from_secs(1);
 /// Share of calls that are answered before a hedge is considered.
 const HEDGE_QUANTILE: f64 = 0.95;
+/// Time before a hedge where the usual time of a kind is known, in such times.
+const HEDGE_FACTOR: f64 = 2.5;
 /// Shortest time before a hedge.
 const HEDGE_MIN: Duration = Duration::from_millis(2);
 /// Most targets whose cost is worked out for one choice.
@@ -21,12 +24,14 @@
 const COST_JITTER: f64 = 0.02;
 
 /// What the choice of a target depends on.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Call {
     /// Whether it may wait behind others.
     pub may_wait: bool,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Name of its rule or path: calls of one kind take about the same work.
+    pub kind: Box<str>,
 }
 
 /// Where a call goes.
@@ -66,6 +71,7 @@
     turn: usize,
     attempts: Attempt,
     hedge_after: Duration,
+    works: Works,
     /// What this service may spend beyond one attempt for each call.
     pub budgets: Budgets,
 }
@@ -79,6 +85,7 @@
             turn: 0,
             attempts: 0,
             hedge_after: Duration::from_millis(50),
+            works: Works::default(),
             budgets,
         }
     }
@@ -118,7 +125,7 @@
         now: Instant,
         random: &mut fastrand::Rng,
         tried: &[Node],
-        call: Call,
+        call: &Call,
     ) -> Choice {
         let candidates = self.candidates(now, tried);
         if candidates.is_empty() {
@@ -141,12 +148,12 @@
     }
 
     /// Notes that an attempt was sent to `node`.
-    pub fn begin(&mut self, now: Instant, node: Node, may_wait: bool) -> Attempt {
+    pub fn begin(&mut self, now: Instant, node: Node, call: &Call) -> Attempt {
         self.attempts += 1;
         let attempt = self.attempts;
-        let prior = Prior::of(self.estimates.iter());
+        let prior = self.prior(&call.kind);
         if let Some(estimate) = self.find(node) {
-            estimate.begin(now, attempt, prior, may_wait);
+            estimate.begin(now, attempt, prior, call);
         }
         attempt
     }
@@ -156,16 +163,24 @@
         if let Ending::Answered(service) = ending {
             self.learn_hedge_time(service);
         }
-        let prior = Prior::of(self.estimates.iter());
+        let prior = self.prior("");
         let Some(estimate) = self.find(node) else {
             return;
         };
-        estimate.end(now, attempt, ending == Ending::Abandoned);
+        let kind = estimate.end(now, attempt, ending == Ending::Abandoned);
+        let pace = estimate.known_pace();
         match ending {
             Ending::Answered(service) => estimate.observe_success(now, service, prior),
             Ending::Failed => estimate.observe_failure(now),
             Ending::Abandoned | Ending::Nothing => estimate.observe_nothing(),
         }
+        if let (Ending::Answered(service), Some(kind)) = (ending, kind) {
+            self.works.observe(&kind, service, pace);
+        }
+    }
+
+    fn prior(&self, kind: &str) -> Prior {
+        Prior { work: self.works.usual(kind), ..Prior::of(self.estimates.iter()) }
     }
 
     /// Takes in a guard's report, from an answer or a probe.
@@ -187,8 +202,14 @@
     }
 
     /// How long to wait for an answer before a second attempt beside it.
-    pub fn hedge_after(&self) -> Duration {
-        self.hedge_after.max(HEDGE_MIN)
+    pub fn hedge_after(&self, call: &Call) -> Duration {
+        let usual = self.works.usual(&call.kind).filter(|_| self.knows_pace());
+        let late = usual.map_or(self.hedge_after, |usual| usual.mul_f64(HEDGE_FACTOR));
+        late.max(HEDGE_MIN)
+    }
+
+    fn knows_pace(&self) -> bool {
+        self.estimates.iter().any(|estimate| estimate.known_pace() > 0)
     }
 
     /// The target for a hedge beside `tried`: one with a free slot, if the hedge
@@ -197,10 +218,11 @@
         &mut self,
         now: Instant,
         tried: &[Node],
+        call: &Call,
         is_very_late: bool,
     ) -> Option<Node> {
         let candidates = self.candidates(now, tried);
-        let prior = Prior::of(self.estimates.iter());
+        let prior = self.prior(&call.kind);
         let free = candidates.into_iter().map(|index| &self.estimates[index]);
         let free = free.filter(|estimate| estimate.has_free_slot(now, prior));
         let best =
@@ -226,7 +248,7 @@
 
     /// A target whose ejection is over gets one call to show that it works. A
     /// call that may not be repeated is not put at that risk.
-    fn find_trial(&self, now: Instant, candidates: &[usize], call: Call) -> Option<usize> {
+    fn find_trial(&self, now: Instant, candidates: &[usize], call: &Call) -> Option<usize> {
         let is_due = |index: &&usize| self.estimates[**index].is_due_for_trial(now);
         candidates.iter().find(is_due).copied().filter(|_| call.repeatable)
     }
@@ -236,10 +258,10 @@
         now: Instant,
         candidates: Vec<usize>,
         tried: usize,
-        call: Call,
+        call: &Call,
         random: &mut fastrand::Rng,
     ) -> Choice {
-        let prior = Prior::of(self.estimates.iter());
+        let prior = self.prior(&call.kind);
         let has_alternative = candidates.len() > 1 && tried < MAX_REDIRECTS;
         let compared = pick_some(candidates, MAX_COMPARED, random);
         let costs = compared.into_iter().map(|index| {
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -46,6 +46,8 @@
     pub retries: u32,
     /// Targets that crashed under the request so far.
     pub crashes: u32,
+    /// Further targets that it may be sent to.
+    pub attempts_left: u32,
     /// Time left until the deadline.
     pub remaining: Duration,
     /// Least time in which an answer can be expected.
@@ -74,7 +76,7 @@
     };
     let is_safe = situation.repeatable || !situation.may_have_run;
     let is_in_time = situation.remaining > situation.needed;
-    if !(is_allowed && is_safe && is_in_time) {
+    if !(is_allowed && is_safe && is_in_time && situation.attempts_left > 0) {
         return Retry::GiveUp;
     }
     let is_free = matches!(situation.failure, Failure::Busy | Failure::Leaving);
--- a/crates/platform/src/batch.rs
+++ b/crates/store/src/batch.rs
@@ -1,7 +1,7 @@
 //! Several independent writes in one transaction.
 
-use crate::dialect::Write;
-use crate::store::{Commit, Failure, Store};
+use crate::client::{Commit, Failure, Store};
+use crate::row::Write;
 
 /// Most writes of one transaction.
 const MAX_WRITES: usize = 32;
--- a/crates/platform/tests/circuit.rs
+++ b/crates/store/tests/circuit.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform::{Batch, Circuit, Condition, Write};
+use store::{Batch, Circuit, Condition, Write};
 use quickcheck::quickcheck;
 
 #[test]
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -8,17 +8,24 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use kernel::Kernel;
 use tokio::net::TcpStream;
 
 /// Time limit of connecting.
 const CONNECT_TIME: Duration = Duration::from_secs(1);
-/// An idle connection older than this is closed rather than used again.
-const IDLE_TIME: Duration = Duration::from_secs(10);
-/// Largest answer that is read, in bytes.
+/// An idle connection older than this is closed rather than used again: below
+/// the 10 s after which the targets in hand close theirs.
+const IDLE_TIME: Duration = Duration::from_secs(8);
+/// Idle time up to which a connection is taken to be sound.
+const RECENT: Duration = Duration::from_secs(1);
+/// Time before the other side's own limit at which an idle connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Largest answer that is read unless the user of a client states another, in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Silence of the other side after which a connection counts as broken.
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// Connections to one address. Clones share them.
 #[derive(Debug, Clone)]
@@ -26,6 +33,7 @@
     kernel: Kernel,
     address: SocketAddr,
     max_idle: usize,
+    max_answer: usize,
     idle: Rc<RefCell<Vec<Idle>>>,
 }
 
@@ -35,6 +43,8 @@
     /// It may. The other side may close it just then, so that nobody knows
     /// whether the request was seen.
     Allowed,
+    /// It may, if it served the earlier request a moment ago.
+    Recent,
     /// A new connection is made.
     Never,
 }
@@ -48,18 +58,26 @@
     Lost,
     /// The answer is larger than allowed.
     TooLarge,
+    /// An answer came that belongs to another request.
+    Foreign,
 }
 
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     since: Instant,
+    until: Instant,
 }
 
 impl Client {
     /// A client that keeps up to `max_idle` connections open for reuse.
     pub fn new(kernel: Kernel, address: SocketAddr, max_idle: usize) -> Self {
-        Self { kernel, address, max_idle, idle: Rc::default() }
+        Self { kernel, address, max_idle, max_answer: MAX_ANSWER_BYTES, idle: Rc::default() }
+    }
+
+    /// Sets the size in bytes of the largest answer that is read.
+    pub fn with_max_answer(self, max_answer: usize) -> Self {
+        Self { max_answer, ..self }
     }
 
     /// Sends a request and reads the whole answer. Dropping the future closes
@@ -68,12 +86,23 @@
         &self,
         request: Request<Bytes>,
         reuse: Reuse,
+    ) -> Result<Response<Bytes>, Fault> {
+        self.send_checked(request, reuse, |_| true).await
+    }
+
+    /// Sends a request and reads the whole answer, if its head passes the check.
+    /// A connection with an answer that does not pass is never used again.
+    pub async fn send_checked(
+        &self,
+        request: Request<Bytes>,
+        reuse: Reuse,
+        is_own: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, Fault> {
         let mut request = request.map(Full::new);
-        if reuse == Reuse::Allowed {
-            while let Some(mut sender) = self.take_idle() {
+        if reuse != Reuse::Never {
+            while let Some(mut sender) = self.take_idle(reuse) {
                 match sender.try_send_request(request).await {
-                    Ok(response) => return self.finish(sender, response).await,
+                    Ok(response) => return self.finish(sender, response, is_own).await,
                     Err(mut error) => match error.take_message() {
                         Some(unsent) => request = unsent,
                         None => return Err(Fault::Lost),
@@ -88,7 +117,7 @@
                 None => Fault::Lost,
             }
         })?;
-        self.finish(sender, response).await
+        self.finish(sender, response, is_own).await
     }
 
     /// Whether the address takes connections.
@@ -101,6 +130,7 @@
         let stream = self.kernel.clock().timeout(CONNECT_TIME, connecting).await;
         let stream = stream.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
+        kernel::detect_silence(&stream, SILENCE).ok()?;
         Some(stream)
     }
 
@@ -119,32 +149,50 @@
         &self,
         sender: SendRequest<Full<Bytes>>,
         response: Response<hyper::body::Incoming>,
+        is_own: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, Fault> {
         let (head, body) = response.into_parts();
+        if !is_own(&head.headers) {
+            return Err(Fault::Foreign);
+        }
         let body =
-            Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|error| {
+            Limited::new(body, self.max_answer).collect().await.map_err(|error| {
                 match error.is::<http_body_util::LengthLimitError>() {
                     true => Fault::TooLarge,
                     false => Fault::Lost,
                 }
             })?;
-        self.keep(sender);
+        self.keep(sender, idle_time(&head.headers));
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 
-    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
         let now = self.kernel.clock().now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|idle| !idle.sender.is_closed() && now - idle.since < IDLE_TIME);
-        let usable = idle.iter().rposition(|idle| idle.sender.is_ready())?;
+        idle.retain(|idle| !idle.sender.is_closed() && now < idle.until);
+        let is_allowed = |idle: &Idle| reuse == Reuse::Allowed || now - idle.since < RECENT;
+        let usable = idle.iter().rposition(|idle| idle.sender.is_ready() && is_allowed(idle))?;
         Some(idle.swap_remove(usable).sender)
     }
 
-    fn keep(&self, sender: SendRequest<Full<Bytes>>) {
+    fn keep(&self, sender: SendRequest<Full<Bytes>>, idle_time: Duration) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < self.max_idle && !sender.is_closed() {
             let since = self.kernel.clock().now();
-            idle.push(Idle { sender, since });
+            idle.push(Idle { sender, since, until: since + idle_time });
         }
     }
 }
+
+/// How long a connection may be idle, by what the other side says in `Keep-Alive`.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    let stated = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = stated.and_then(|text| {
+        let mut fields = text.split(',').filter_map(|field| field.trim().split_once('='));
+        fields.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?.1.trim().parse().ok()
+    });
+    let limit = seconds.map_or(IDLE_TIME, |seconds| {
+        Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)
+    });
+    limit.min(IDLE_TIME)
+}
--- a/crates/wire/schema/bronzeport.capnp
+++ b/crates/wire/schema/bronzeport.capnp
@@ -8,6 +8,7 @@
   crashed @7; cut @8; expired @9; storeDown @10; conflict @11; alreadyRan @12;
   inProgress @13; refusedBefore @14; tooDeep @15; tooLarge @16; unknownService @17;
   unknownMethod @18; targetShed @19; targetFailing @20; badRequest @21; unknownPath @22; notReady @23;
+  slow @24;
 }
 
 struct Header { name @0 :Text; value @1 :Data; }
@@ -19,6 +20,7 @@
   serviceMicros @3 :UInt32;
   leaving @4 :Bool;
   patient @5 :UInt16;
+  pacePercent @6 :UInt16;
 }
 
 struct Request {
@@ -37,6 +39,11 @@
   claimTag @12 :Text;
   recallOnly @14 :Bool;
   fingerprint @13 :UInt64;
+  caller @15 :Text;
+  kind @16 :Text;
+  rank @17 :UInt8;
+  aimMicros @18 :UInt32;
+  once @19 :Bool;
 }
 
 struct Answer {
@@ -90,4 +97,5 @@
   updates @5 :List(Member);
   holds @6 :List(Hold);
   digest @7 :UInt64;
+  load @8 :Load;
 }
--- a/crates/wire/src/bronzeport_capnp.rs
+++ b/crates/wire/src/bronzeport_capnp.rs
@@ -103,6 +103,7 @@
     BadRequest = 21,
     UnknownPath = 22,
     NotReady = 23,
+    Slow = 24,
 }
 
 impl ::capnp::introspect::Introspect for Reason {
@@ -139,6 +140,7 @@
             21 => ::core::result::Result::Ok(Self::BadRequest),
             22 => ::core::result::Result::Ok(Self::UnknownPath),
             23 => ::core::result::Result::Ok(Self::NotReady),
+            24 => ::core::result::Result::Ok(Self::Slow),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -151,7 +153,7 @@
     const TYPE_ID: u64 = 0xba60_6135_b9c7_df0au64;
 }
 mod reason {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 128] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(10, 223, 199, 185, 53, 97, 96, 186),
     ::capnp::word(17, 0, 0, 0, 2, 0, 0, 0),
@@ -161,85 +163,88 @@
     ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 71, 2, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 95, 2, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
     ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
     ::capnp::word(58, 82, 101, 97, 115, 111, 110, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(96, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(100, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(237, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(249, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(225, 0, 0, 0, 34, 0, 0, 0),
+    ::capnp::word(237, 0, 0, 0, 34, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(209, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(221, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(205, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(201, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(213, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(197, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(209, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(193, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(205, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(177, 0, 0, 0, 122, 0, 0, 0),
+    ::capnp::word(189, 0, 0, 0, 122, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(173, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(185, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(19, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(169, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(181, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(20, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(177, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(21, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(161, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(22, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(157, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(169, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(23, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(24, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(110, 111, 110, 101, 0, 0, 0, 0),
     ::capnp::word(98, 117, 115, 121, 0, 0, 0, 0),
@@ -280,6 +285,7 @@
     ::capnp::word(97, 116, 104, 0, 0, 0, 0, 0),
     ::capnp::word(110, 111, 116, 82, 101, 97, 100, 121),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(115, 108, 111, 119, 0, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -619,6 +625,10 @@
         pub fn get_patient(self) -> u16 {
             self.reader.get_data_field::<u16>(6)
         }
+        #[inline]
+        pub fn get_pace_percent(self) -> u16 {
+            self.reader.get_data_field::<u16>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -721,6 +731,14 @@
         pub fn set_patient(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(6, value);
         }
+        #[inline]
+        pub fn get_pace_percent(self) -> u16 {
+            self.builder.get_data_field::<u16>(7)
+        }
+        #[inline]
+        pub fn set_pace_percent(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -732,7 +750,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(0, 43, 39, 239, 147, 185, 183, 164),
             ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
@@ -742,56 +760,63 @@
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
             ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 76, 111, 97, 100, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
@@ -842,6 +867,15 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 99, 101, 80, 101, 114, 99),
+            ::capnp::word(101, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -851,6 +885,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -864,9 +899,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,5,1,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,6,5,1,3,2];
         pub(crate) const TYPE_ID: u64 = 0xa4b7_b993_ef27_2b00;
     }
 }
@@ -1020,11 +1055,39 @@
         pub fn get_recall_only(self) -> bool {
             self.reader.get_bool_field(43)
         }
+        #[inline]
+        pub fn get_caller(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_caller(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_kind(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_kind(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
+        #[inline]
+        pub fn get_rank(self) -> u8 {
+            self.reader.get_data_field::<u8>(7)
+        }
+        #[inline]
+        pub fn get_aim_micros(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_once(self) -> bool {
+            self.reader.get_bool_field(44)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1250,6 +1313,62 @@
         pub fn set_recall_only(&mut self, value: bool)  {
             self.builder.set_bool_field(43, value);
         }
+        #[inline]
+        pub fn get_caller(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_caller(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_caller(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(7).init_text(size)
+        }
+        #[inline]
+        pub fn has_caller(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_kind(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_kind(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_kind(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(8).init_text(size)
+        }
+        #[inline]
+        pub fn has_kind(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
+        #[inline]
+        pub fn get_rank(self) -> u8 {
+            self.builder.get_data_field::<u8>(7)
+        }
+        #[inline]
+        pub fn set_rank(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(7, value);
+        }
+        #[inline]
+        pub fn get_aim_micros(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_aim_micros(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_once(self) -> bool {
+            self.builder.get_bool_field(44)
+        }
+        #[inline]
+        pub fn set_once(&mut self, value: bool)  {
+            self.builder.set_bool_field(44, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1261,17 +1380,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 253] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 329] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(148, 132, 244, 185, 111, 225, 190, 132),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(82, 119, 63, 158, 192, 182, 161, 212),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 103, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
@@ -1279,112 +1398,147 @@
             ::capnp::word(58, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 41, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 43, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 44, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1515,6 +1669,47 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 108, 108, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 97, 110, 107, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 105, 109, 77, 105, 99, 114, 111),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 110, 99, 101, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1533,6 +1728,11 @@
                 12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                19 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1546,9 +1746,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,12,11,7,13,4,0,9,8,2,3,14,6,10,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[18,5,15,12,11,7,13,4,0,16,9,8,2,19,3,17,14,6,10,1];
         pub(crate) const TYPE_ID: u64 = 0x84be_e16f_b9f4_8494;
     }
 }
@@ -5259,11 +5459,19 @@
         pub fn get_digest(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_load(self) -> ::capnp::Result<crate::bronzeport_capnp::load::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_load(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5401,6 +5609,22 @@
         pub fn set_digest(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_load(self) -> ::capnp::Result<crate::bronzeport_capnp::load::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_load(&mut self, value: crate::bronzeport_capnp::load::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_load(self, ) -> crate::bronzeport_capnp::load::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+        }
+        #[inline]
+        pub fn has_load(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5413,82 +5637,92 @@
         pub fn get_sender(&self) -> crate::bronzeport_capnp::member::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
+        pub fn get_load(&self) -> crate::bronzeport_capnp::load::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 147] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 162] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(182, 148, 136, 145, 188, 75, 89, 226),
             ::capnp::word(17, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(82, 119, 63, 158, 192, 182, 161, 212),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
             ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 71, 111, 115, 115, 105, 112, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5563,6 +5797,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 43, 39, 239, 147, 185, 183, 164),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5574,6 +5816,7 @@
                 5 => <::capnp::struct_list::Owned<crate::bronzeport_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::bronzeport_capnp::hold::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::bronzeport_capnp::load::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5587,9 +5830,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,0,3,2,1,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,0,8,3,2,1,4,5];
         pub(crate) const TYPE_ID: u64 = 0xe259_4bbc_9188_94b6;
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use admit::Hold;
+use bytes::Bytes;
 use capnp::text;
 use config::Change;
 use member::{Member, State};
@@ -41,6 +42,11 @@
     to.set_claim_tag(&*from.claim_tag);
     to.set_recall_only(from.recall_only);
     to.set_fingerprint(from.fingerprint);
+    to.set_caller(&*from.caller);
+    to.set_kind(&*from.kind);
+    to.set_rank(from.rank);
+    to.set_aim_micros(micros_of(from.aim));
+    to.set_once(from.once);
 }
 
 pub(crate) fn read_request(from: schema::request::Reader<'_>) -> Result<Request, Error> {
@@ -50,7 +56,7 @@
         method: text_of(from.get_method())?,
         path: text_of(from.get_path())?,
         headers: read_headers(from.get_headers()?)?,
-        body: from.get_body()?.into(),
+        body: Bytes::copy_from_slice(from.get_body()?),
         remaining: Duration::from_micros(from.get_remaining_micros().into()),
         depth: from.get_depth(),
         may_wait: from.get_may_wait(),
@@ -60,6 +66,11 @@
         claim_tag: text_of(from.get_claim_tag())?,
         recall_only: from.get_recall_only(),
         fingerprint: from.get_fingerprint(),
+        caller: text_of(from.get_caller())?,
+        kind: text_of(from.get_kind())?,
+        rank: from.get_rank(),
+        aim: Duration::from_micros(from.get_aim_micros().into()),
+        once: from.get_once(),
     })
 }
 
@@ -81,7 +92,7 @@
         reason: from.get_reason()?,
         status: from.get_status(),
         headers: read_headers(from.get_headers()?)?,
-        body: from.get_body()?.into(),
+        body: Bytes::copy_from_slice(from.get_body()?),
         load: read_load(from.get_load()?),
         retry_after: Duration::from_millis(from.get_retry_after_millis().into()),
         node: from.get_node(),
@@ -113,6 +124,7 @@
     to.set_service_micros(micros_of(from.service));
     to.set_leaving(from.leaving);
     to.set_patient(from.patient);
+    to.set_pace_percent(from.pace);
 }
 
 pub(crate) fn read_load(from: schema::load::Reader<'_>) -> Load {
@@ -123,6 +135,7 @@
         service: Duration::from_micros(from.get_service_micros().into()),
         leaving: from.get_leaving(),
         patient: from.get_patient(),
+        pace: from.get_pace_percent(),
     }
 }
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -7,7 +7,8 @@
 use crate::Error;
 use crate::bronzeport_capnp::gossip;
 use crate::convert::{
-    read_holds, read_member, read_members, write_holds, write_member, write_members,
+    read_holds, read_load, read_member, read_members, write_holds, write_load, write_member,
+    write_members,
 };
 use crate::hello::VERSION;
 use crate::message::Gossip;
@@ -44,6 +45,9 @@
     write_members(to.reborrow().init_updates(updates.len() as u32), updates);
     write_holds(to.reborrow().init_holds(holds.len() as u32), holds);
     to.set_digest(from.digest);
+    if let Some(load) = from.load {
+        write_load(to.reborrow().init_load(), load);
+    }
     let mut bytes = vec![VERSION];
     serialize_packed::write_message(&mut bytes, &message).expect("writing to memory");
     bytes
@@ -70,5 +74,9 @@
         updates: read_members(from.get_updates()?)?,
         holds: read_holds(from.get_holds()?),
         digest: from.get_digest(),
+        load: match from.has_load() {
+            true => Some(read_load(from.get_load()?)),
+            false => None,
+        },
     })
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
@@ -18,6 +19,9 @@
 use crate::hello::{HelloError, exchange};
 use crate::message::{Answer, Changes, Request};
 
+/// Silence of the other side after which a connection counts as broken.
+pub(crate) const SILENCE: Duration = Duration::from_secs(3);
+
 /// A connection to another daemon. Clones share it.
 #[derive(Clone)]
 pub struct Link {
@@ -31,6 +35,7 @@
 ) -> Result<(Link, impl Future<Output = Result<(), Error>> + 'static), HelloError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    kernel::detect_silence(&stream, SILENCE)?;
     let mut stream = stream.compat();
     exchange(&mut stream).await?;
     let (reader, writer) = stream.split();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use admit::Hold;
+use bytes::Bytes;
 use config::Change;
 use member::{Kind, Member};
 use route::{Load, Node};
@@ -32,7 +33,7 @@
     /// Headers for the target.
     pub headers: Vec<Header>,
     /// Body, at most [`crate::MAX_BODY_BYTES`].
-    pub body: Box<[u8]>,
+    pub body: Bytes,
     /// Time left until the deadline.
     pub remaining: Duration,
     /// Calls above this one in the chain.
@@ -52,6 +53,17 @@
     pub recall_only: bool,
     /// Hash of service, method, path and body.
     pub fingerprint: u64,
+    /// Service of the host where the request began.
+    pub caller: Box<str>,
+    /// Name of the rule or path that it falls under; requests of one kind take
+    /// about the same work.
+    pub kind: Box<str>,
+    /// Urgency; 0 goes before all others.
+    pub rank: u8,
+    /// Time left until its answer is not of full use any more.
+    pub aim: Duration,
+    /// Whether it goes to one target only and nothing is stored of it.
+    pub once: bool,
 }
 
 /// What became of a call.
@@ -66,7 +78,7 @@
     /// Headers of the target's answer.
     pub headers: Vec<Header>,
     /// Body of the target's answer.
-    pub body: Box<[u8]>,
+    pub body: Bytes,
     /// The guard's load after the call.
     pub load: Load,
     /// When to come back; zero when nothing is known.
@@ -85,7 +97,7 @@
             reason,
             status: 0,
             headers: Vec::new(),
-            body: Box::default(),
+            body: Bytes::new(),
             load: Load::default(),
             retry_after: Duration::ZERO,
             node,
@@ -122,6 +134,8 @@
     pub holds: Vec<Hold>,
     /// Digest of the sender's member list.
     pub digest: u64,
+    /// Load of the sender's target, if it has one.
+    pub load: Option<Load>,
 }
 
 /// What one daemon asks another over TCP.
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::bronzeport_capnp::daemon;
 use crate::convert::{read_request, write_answer, write_changes, write_load, write_members};
 use crate::hello::{HelloError, exchange};
+use crate::link::SILENCE;
 use crate::message::{Question, Reply};
 
 /// Answers questions. The future is dropped when the asker has cancelled.
@@ -30,6 +31,7 @@
     answering: Answering,
 ) -> Result<(), HelloError> {
     stream.set_nodelay(true)?;
+    kernel::detect_silence(&stream, SILENCE)?;
     let mut stream = stream.compat();
     let hello = tokio::time::timeout(hello_time, exchange(&mut stream));
     hello.await.map_err(|_| HelloError::Late)??;
