The command line and the lab speak the store's new protocol; SIGHUP is no end

Change: one client, generic over the platform's dialect; the stand-in speaks it, with a feed, dropped history and writes that take effect late. SIGHUP is logged: the settings of a process are flags and variables, which stay.

--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -43,7 +43,7 @@
     daemon: SocketAddr,
     response: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
 ) -> Result<Value, Box<str>> {
-    let failed = |error: ureq::Error| Box::from(format!("{daemon}: {error}"));
+    let failed = |error: ureq::Error| -> Box<str> { format!("{daemon}: {error}").into() };
     let mut response = response.map_err(failed)?;
     let body = response.body_mut().read_to_string().map_err(failed)?;
     serde_json::from_str(&body).map_err(|_| format!("{daemon}: {}", body.trim()).into())
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,8 +1,8 @@
 //! What each command does and prints.
 
-use futures_lite::future::block_on;
-use platform::{Settings, Store};
+use kernel::Kernel;
 use serde_json::{Value, json};
+use store::{Settings, Store};
 
 use crate::admin::Admin;
 use crate::args::{Args, Command, HELP};
@@ -49,8 +49,12 @@
     Exit::Failed
 }
 
-fn store(args: &Args) -> Option<Store> {
-    args.platform.map(|address| Store::new(Settings::at(address)))
+/// The store and the kernel that its calls run on.
+fn store(args: &Args) -> Result<(Kernel, Store), Box<str>> {
+    let address = args.platform.ok_or("--platform is missing")?;
+    let kernel = Kernel::new().map_err(|error| format!("runtime: {error}"))?;
+    let store = Store::new(&kernel, Settings::at(address, platform::store_dialect()));
+    Ok((kernel, store))
 }
 
 fn check(args: &Args) -> Exit {
@@ -95,8 +99,9 @@
             }
         },
     };
-    let Some(store) = store(args) else {
-        return fail("--platform is missing");
+    let (kernel, store) = match store(args) {
+        Ok(found) => found,
+        Err(text) => return fail(text),
     };
     let publication = Publication {
         id: uuid::Uuid::now_v7().to_string().into(),
@@ -104,7 +109,7 @@
         files,
         remove: args.remove.clone(),
     };
-    match block_on(publish::publish(&store, publication)) {
+    match kernel.run(publish::publish(&store, publication)) {
         Ok((published, changes)) => {
             hand_over(args, &published, &changes);
             report_published(args, &published)
@@ -161,10 +166,11 @@
 }
 
 fn show_history(args: &Args) -> Exit {
-    let Some(store) = store(args) else {
-        return fail("--platform is missing");
+    let (kernel, store) = match store(args) {
+        Ok(found) => found,
+        Err(text) => return fail(text),
     };
-    match block_on(history::read(&store, args.limit)) {
+    match kernel.run(history::read(&store, args.limit)) {
         Ok(entries) if args.json => {
             let entries: Vec<Value> = entries.into_iter().map(|entry| entry.0).collect();
             print(&Value::Array(entries).to_string())
@@ -180,10 +186,11 @@
 }
 
 fn show(args: &Args) -> Exit {
-    let Some(store) = store(args) else {
-        return fail("--platform is missing");
+    let (kernel, store) = match store(args) {
+        Ok(found) => found,
+        Err(text) => return fail(text),
     };
-    let head = match block_on(publish::read_head(&store)) {
+    let head = match kernel.run(publish::read_head(&store)) {
         Ok(head) => head.revision,
         Err(report) => return fail(format!("{report:?}")),
     };
--- a/crates/cli/src/history.rs
+++ b/crates/cli/src/history.rs
@@ -2,8 +2,8 @@
 
 use config::Revision;
 use error_stack::{Report, ResultExt};
-use platform::{Failure, Store};
 use serde_json::Value;
+use store::{Failure, Store};
 
 use crate::publish::{LOG_PREFIX, read_head};
 
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -11,8 +11,8 @@
 
 use config::Revision;
 use error_stack::{Report, ResultExt};
-use platform::{Commit, Condition, Failure, Row, Store, Write};
 use serde_json::{Value, json};
+use store::{Commit, Condition, Failure, Row, Store, Write};
 
 use crate::files::File;
 
@@ -68,7 +68,8 @@
 pub enum PublishError {
     /// Nothing was written.
     NotDone,
-    /// The files that differ are larger than [`MAX_BYTES`] together.
+    /// The files that differ are too many, or too large together: see
+    /// [`MAX_ROW_BYTES`] and [`MAX_FILES`].
     TooLarge,
     /// Nobody can tell whether it is written.
     Unknown,
@@ -79,7 +80,7 @@
         f.write_str(match self {
             Self::NotDone => "nothing is published",
             Self::TooLarge => {
-                "nothing is published: more than 1 MiB of files differ; publish them in parts"
+                "nothing is published: more than 64 KiB or 90 files differ; publish them in parts"
             }
             Self::Unknown => "it is not known whether the files are published; run history",
         })
@@ -106,9 +107,12 @@
     Ok(Head { revision, condition: Condition::Tag(row.tag) })
 }
 
-/// Most bytes of files that one publication changes, so that it fits into one
-/// message between daemons.
-pub const MAX_BYTES: usize = 1024 * 1024;
+/// Bytes of the largest row of the store. The entry of the log holds all files
+/// of a publication.
+pub const MAX_ROW_BYTES: usize = 64 * 1024;
+/// Most files that one publication changes: a transaction of the store holds 100
+/// entries.
+pub const MAX_FILES: usize = 90;
 
 /// Publishes. The second part of the result are the changed files as the
 /// daemons take them.
@@ -122,13 +126,12 @@
         let revision = head.revision;
         return Ok((Published::Unchanged { revision }, Value::Null));
     }
-    let bytes: usize =
-        changes.iter().filter_map(|change| Some(change["body"].as_str()?.len())).sum();
-    if bytes > MAX_BYTES {
-        return Err(Report::new(PublishError::TooLarge));
-    }
+    let is_too_many = changes.len() > MAX_FILES;
     let changes = Value::Array(changes);
     let writes = writes(&head, &publication, &changes);
+    if is_too_many || writes.iter().any(|write| write.value.len() > MAX_ROW_BYTES) {
+        return Err(Report::new(PublishError::TooLarge));
+    }
     let published = commit(store, &head, &publication, writes).await?;
     Ok((published, changes))
 }
--- a/crates/config/src/book.rs
+++ b/crates/config/src/book.rs
@@ -154,7 +154,8 @@
             let table = self.read_table.and_then(|read| read(&change.body).ok()).ok_or(())?;
             return Ok(Content::Table(Rc::new(table)));
         }
-        let service = Service::try_from(Source::new(&change.service, &change.body)).map_err(drop)?;
+        let service =
+            Service::try_from(Source::new(&change.service, &change.body)).map_err(drop)?;
         if service.name != change.service {
             return Err(());
         }
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -102,10 +102,8 @@
     pub(crate) async fn recall(&self, call: &Call, deadline: Instant, node: Node) -> Answer {
         let unknown = |reason| Answer::refusal(Outcome::Unknown, reason, node);
         let remaining = deadline.saturating_duration_since(self.clock.now());
-        let request = Request {
-            recall_only: true,
-            ..request_of(call, remaining, self.guard.service())
-        };
+        let request =
+            Request { recall_only: true, ..request_of(call, remaining, self.guard.service()) };
         let address = self.router.ask(|reply| router::Ask::Address { node, reply }).await.flatten();
         let Some(address) = address else {
             return unknown(Reason::Unreachable);
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -11,7 +11,7 @@
 
 use crate::call::refused;
 use crate::edge::{
-    Destination, Final, Head, Identity, Refused, TargetAnswer, Fate, copy_headers, end_to_end,
+    Destination, Fate, Final, Head, Identity, Refused, TargetAnswer, copy_headers, end_to_end,
 };
 use crate::{headers, journal};
 
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -130,9 +130,8 @@
             }
             Ask::Path { hostname, path, reply } => {
                 let table = self.book.table();
-                let found = table.and_then(|table| {
-                    Some((table.find(&hostname, &path)?.clone(), table.bounds))
-                });
+                let found = table
+                    .and_then(|table| Some((table.find(&hostname, &path)?.clone(), table.bounds)));
                 reply.send(found);
             }
             Ask::Table { text } => self.install_table(text),
@@ -293,17 +292,11 @@
 }
 
 /// The whole table, or its changes after a version that is known.
-async fn read_feed(
-    kernel: &Kernel,
-    table: &str,
-    known: Option<Version>,
-) -> Result<Rows, Failure> {
+async fn read_feed(kernel: &Kernel, table: &str, known: Option<Version>) -> Result<Rows, Failure> {
     let rows: Mailbox<storage::Ask> = kernel.service(names::STORE);
     let table = table.into();
     let read = match known {
-        None => {
-            rows.ask(|reply| storage::Ask::Table { table, limit: MAX_FEED_ROWS, reply }).await
-        }
+        None => rows.ask(|reply| storage::Ask::Table { table, limit: MAX_FEED_ROWS, reply }).await,
         Some(after) => {
             let wait = FEED_WAIT;
             rows.ask(|reply| storage::Ask::Feed { table, after, wait, reply }).await
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -27,6 +27,9 @@
     "upgrade",
 ];
 
+/// Reads a notice of a target from the method, path and body of its request.
+pub type ReadNotice = fn(&Method, &str, &[u8]) -> Result<Notice, Box<str>>;
+
 /// How the daemon speaks with its surroundings.
 #[derive(Debug, Clone, Copy)]
 pub struct Edge {
@@ -43,7 +46,7 @@
     /// Whether a target's answer belongs to the request with this id.
     pub is_own: fn(&HeaderMap, &str) -> bool,
     /// Reads what a target says of itself; `None` where the settings say it.
-    pub read_notice: Option<fn(&Method, &str, &[u8]) -> Result<Notice, Box<str>>>,
+    pub read_notice: Option<ReadNotice>,
     /// Reads the table of paths; `None` where service files say what is in force.
     pub read_table: Option<ReadTable>,
     /// Key of the row that holds the table of paths.
--- a/crates/daemon/src/guard/standing.rs
+++ b/crates/daemon/src/guard/standing.rs
@@ -69,7 +69,8 @@
         if self.is_stale(&announcement) {
             return Change::Stale;
         }
-        let is_same = self.current.as_ref().is_some_and(|known| is_same_start(known, &announcement));
+        let is_same =
+            self.current.as_ref().is_some_and(|known| is_same_start(known, &announcement));
         let was_leaving = is_same && self.current.as_ref().is_some_and(|known| known.is_leaving);
         // A start that leaves does not come back.
         let is_leaving = announcement.is_leaving || was_leaving;
@@ -84,9 +85,7 @@
     fn hear_gone(&mut self, instance: Box<str>, started: u64) -> Change {
         self.note_gone(instance.clone(), started);
         match &mut self.current {
-            Some(current)
-                if current.instance == instance && agree(current.started, started) =>
-            {
+            Some(current) if current.instance == instance && agree(current.started, started) => {
                 current.is_leaving = true;
                 Change::Leaving
             }
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -15,7 +15,7 @@
 use super::standing::{Change, Standing};
 use super::{Ask, Due, Heard, REPORT_AGE, Status, WATCH_EVERY};
 use crate::claims::Claims;
-use crate::edge::{Announcement, Edge, Identity, Fate, Notice, TargetAnswer};
+use crate::edge::{Announcement, Edge, Fate, Identity, Notice, TargetAnswer};
 use crate::journal::{self, Event};
 use crate::target::{Look, Run, Target};
 use crate::{membership, names};
@@ -514,7 +514,8 @@
         }
         log::info!("the target is leaving");
         self.gate.leave();
-        let is_waiting = |(_, job): &(&Ticket, &Job)| job.stage == Stage::Waiting && !job.is_claimed();
+        let is_waiting =
+            |(_, job): &(&Ticket, &Job)| job.stage == Stage::Waiting && !job.is_claimed();
         let waiting: Vec<Ticket> =
             self.jobs.iter().filter(is_waiting).map(|(ticket, _)| *ticket).collect();
         for ticket in waiting {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,9 +16,9 @@
 use web::{Limits, Serving};
 use wire::{Answering, Question, Reply};
 
+use crate::edge::Edge;
 use crate::entry::Entry;
 use crate::settings::Settings;
-use crate::edge::Edge;
 use crate::{
     admin, configuration, guard, journal, membership, names, peers, router, storage, surroundings,
 };
@@ -84,7 +84,7 @@
         let mut signals = Signals::subscribe().describe(|| "signals".into())?;
         let running = start(&kernel, &settings, edge, node, seed)?;
         log::info!("node {node:016x} serves callers at {}", settings.listen);
-        signals.next().await;
+        signals.stop(log_reload).await;
         Ok(stop(&kernel, running, &mut signals, &settings).await)
     };
     kernel.run(main)
@@ -182,7 +182,7 @@
         }
     };
     let forced = async {
-        signals.next().await;
+        signals.stop(log_reload).await;
         log::warn!("a second signal ends the wait");
     };
     let finish = futures_lite::future::or(finish, forced);
@@ -198,6 +198,12 @@
     Stopped { finished: entry.finished(), cut }
 }
 
+/// Flags and environment variables of a process do not change while it runs; a
+/// new process takes the new ones.
+fn log_reload() {
+    log::info!("asked to reload: the settings of this process stay until its next start");
+}
+
 async fn in_flight(kernel: &Kernel, entry: &Entry) -> usize {
     let guard: Mailbox<guard::Ask> = kernel.service(names::GUARD);
     let guarded = guard.ask(|reply| guard::Ask::Busy { reply }).await.unwrap_or(0);
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -29,12 +29,7 @@
     /// Read a small table whole.
     Table { table: Box<str>, limit: usize, reply: Reply<Result<Rows, Failure>> },
     /// Wait for changes of a table after a version.
-    Feed {
-        table: Box<str>,
-        after: Version,
-        wait: Duration,
-        reply: Reply<Result<Rows, Failure>>,
-    },
+    Feed { table: Box<str>, after: Version, wait: Duration, reply: Reply<Result<Rows, Failure>> },
     /// Write a row; it may share a transaction with others.
     Commit { write: Write, reply: Reply<Commit> },
     /// A transaction has ended.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -31,5 +31,5 @@
 pub use clock::{Clock, Expired};
 pub use mailbox::{Inbox, Mailbox, Reply, Waiter, mailbox, reply};
 pub use socket::detect_silence;
-pub use stop::Signals;
+pub use stop::{Asked, Signals};
 pub use tasks::{Kernel, Task};
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -97,7 +97,7 @@
             counts.faults += 1;
             inject(&mut fleet, fault, &mut random, counts)?;
         }
-        calls.join().map_err(|_| Box::from("the load failed"))
+        calls.join().map_err(|_| Box::<str>::from("the load failed"))
     })?;
     counts.calls += records.len();
     check_calls(&mut fleet, &records, counts);
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -241,7 +241,6 @@
     /// Publishes service files and hands the news to the first two daemons
     /// that run. Returns the revision.
     pub fn publish(&self, files: &[(Box<str>, Box<str>)]) -> Result<u64, Box<str>> {
-        let store = platform::Store::new(platform::Settings::at(self.platform));
         let publication = cli::publish::Publication {
             id: format!("{:x}", fastrand::u64(..)).into(),
             who: "lab".into(),
@@ -254,7 +253,9 @@
                 .collect(),
             remove: Vec::new(),
         };
-        let result = futures_lite::future::block_on(cli::publish::publish(&store, publication));
+        let result = with_store(self.platform, async |store| {
+            cli::publish::publish(&store, publication).await
+        });
         let (published, changes) = result.map_err(|report| format!("{report:?}"))?;
         let cli::publish::Published::Accepted { from, revision } = published else {
             return Err(format!("{published:?}").into());
@@ -362,6 +363,14 @@
     }
 }
 
+/// Runs `work` with a client of the store at an address.
+pub fn with_store<T>(address: SocketAddr, work: impl AsyncFnOnce(store::Store) -> T) -> T {
+    let kernel = kernel::Kernel::new().expect("a runtime");
+    let settings = store::Settings::at(address, platform::store_dialect());
+    let store = store::Store::new(&kernel, settings);
+    kernel.run(work(store))
+}
+
 /// Polls until `is_done` or the time is over.
 pub fn wait_until(limit: Duration, is_done: impl Fn() -> bool) -> Option<Duration> {
     let start = Instant::now();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -201,7 +201,8 @@
     match daemon::settings::read(args, |_| None)? {
         daemon::settings::Command::Run(settings) => {
             daemon::start_log(&settings);
-            let stopped = daemon::node::run(*settings)?;
+            let edge = platform::edge_of(settings.interface);
+            let stopped = daemon::node::run(*settings, edge)?;
             eprintln!("stopped: {} calls answered, {} cut off", stopped.finished, stopped.cut);
             Ok(ExitCode::SUCCESS)
         }
--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/standin.rs
@@ -1,5 +1,5 @@
-//! A stand-in for the platform: the table service and the object store, with
-//! faults that a test sets over HTTP.
+//! A stand-in for the platform's store, in its protocol, with faults that a test
+//! sets over HTTP.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -33,9 +33,11 @@
     pub slow: Duration,
     /// Share of writes that take effect and get no answer.
     pub lose_answers: f64,
-    /// Writes and reads allowed in a second.
+    /// Time after which such a write takes effect, if its conditions hold then.
+    pub lost_effect_after: Duration,
+    /// Write calls allowed in a second.
     pub writes_per_second: f64,
-    /// Reads allowed in a second.
+    /// Read calls allowed in a second.
     pub reads_per_second: f64,
 }
 
@@ -46,18 +48,28 @@
             silent: false,
             slow: Duration::from_millis(1),
             lose_answers: 0.0,
+            lost_effect_after: Duration::ZERO,
             writes_per_second: 300.0,
             reads_per_second: 2000.0,
         }
     }
 }
 
+/// Name of a table and a key in it.
+type Place = (String, String);
+
 /// The state of the stand-in.
 #[derive(Debug)]
 pub struct Standin {
-    rows: BTreeMap<String, (u64, String)>,
-    objects: BTreeMap<String, String>,
-    next_tag: u64,
+    started: Instant,
+    /// Each row's version and its value in base64.
+    rows: BTreeMap<Place, (u64, String)>,
+    /// Changes in the order of their versions.
+    history: Vec<(u64, Place)>,
+    /// Changes up to this version are not in the history any more.
+    dropped: u64,
+    objects: BTreeMap<String, Bytes>,
+    version: u64,
     faults: Faults,
     random: fastrand::Rng,
     writes: Bucket,
@@ -72,13 +84,32 @@
     count: u64,
 }
 
-/// What a call does to the caller.
+/// A call to the stand-in.
+struct Call {
+    method: Method,
+    path: String,
+    query: String,
+    body: Bytes,
+}
+
+/// What becomes of a call.
 enum Effect {
     Answer(Response<Bytes>),
-    /// The call took effect and is never answered.
-    Lose,
+    /// The call is looked at again until this time, or until there is news.
+    Wait {
+        until: Instant,
+    },
+    /// The call takes effect after a time and is never answered.
+    Lose {
+        after: Duration,
+    },
 }
 
+/// Time between two looks whether a feed has news.
+const FEED_STEP: Duration = Duration::from_millis(5);
+/// Rows in one answer at most.
+const MAX_ROWS: usize = 500;
+
 /// Serves the stand-in on `listener`.
 pub fn serve(kernel: &Kernel, listener: TcpListener, seed: u64) -> std::io::Result<web::Serving> {
     let standin = Rc::new(RefCell::new(Standin::new(seed)));
@@ -95,28 +126,47 @@
     request: Request<Incoming>,
 ) -> Response<Bytes> {
     let (parts, body) = request.into_parts();
-    let path = parts.uri.path().to_owned();
-    let query = parts.uri.query().unwrap_or_default().to_owned();
     let Ok(body) = read_body(body, MAX_BODY_BYTES).await else {
         return answer(413, json!({}));
     };
-    let body = String::from_utf8_lossy(&body).into_owned();
-    if path == "/faults" {
-        standin.borrow_mut().set_faults(&body);
-        return answer(200, json!({}));
-    }
-    if path == "/counts" {
-        return standin.borrow().counts();
+    let call = Call {
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        method: parts.method,
+        body,
+    };
+    match &*call.path {
+        "/faults" => {
+            standin.borrow_mut().set_faults(&call.body);
+            return answer(200, json!({}));
+        }
+        "/counts" => return standin.borrow().counts(),
+        _ => {}
     }
     let faults = standin.borrow().faults;
     if faults.silent {
         std::future::pending::<()>().await;
     }
     kernel.clock().sleep(faults.slow).await;
-    let effect = standin.borrow_mut().call(&parts.method, &path, &query, &body);
-    match effect {
-        Effect::Answer(response) => response,
-        Effect::Lose => std::future::pending().await,
+    let arrived = Instant::now();
+    if let Some(refusal) = standin.borrow_mut().refuse(&call) {
+        return refusal;
+    }
+    loop {
+        let effect = standin.borrow_mut().call(arrived, &call);
+        match effect {
+            Effect::Answer(response) => return response,
+            Effect::Wait { until } if Instant::now() < until => {
+                kernel.clock().sleep(FEED_STEP).await;
+            }
+            Effect::Wait { .. } => return standin.borrow().no_news(),
+            Effect::Lose { after } => {
+                kernel.clock().sleep(after).await;
+                // Nobody waits for the answer.
+                let _ = standin.borrow_mut().write(&call);
+                std::future::pending::<()>().await;
+            }
+        }
     }
 }
 
@@ -125,9 +175,12 @@
     pub fn new(seed: u64) -> Self {
         let bucket = || Bucket { tokens: 0.0, at: Instant::now(), count: 0 };
         Self {
+            started: Instant::now(),
             rows: BTreeMap::new(),
+            history: Vec::new(),
+            dropped: 0,
             objects: BTreeMap::new(),
-            next_tag: 0,
+            version: 0,
             faults: Faults::default(),
             random: fastrand::Rng::with_seed(seed),
             writes: bucket(),
@@ -136,18 +189,23 @@
         }
     }
 
-    fn set_faults(&mut self, body: &str) {
-        let value: Value = serde_json::from_str(body).unwrap_or_default();
+    fn set_faults(&mut self, body: &[u8]) {
+        let value: Value = serde_json::from_slice(body).unwrap_or_default();
         let faults = &mut self.faults;
         let number = |key: &str| value[key].as_f64();
+        let millis = |key: &str| Some(Duration::from_secs_f64(number(key)? / 1e3));
         faults.down = value["down"].as_bool().unwrap_or(faults.down);
         faults.silent = value["silent"].as_bool().unwrap_or(faults.silent);
-        if let Some(millis) = number("slow_ms") {
-            faults.slow = Duration::from_secs_f64(millis / 1e3);
-        }
+        faults.slow = millis("slow_ms").unwrap_or(faults.slow);
         faults.lose_answers = number("lose_answers").unwrap_or(faults.lose_answers);
+        faults.lost_effect_after =
+            millis("lost_effect_after_ms").unwrap_or(faults.lost_effect_after);
         faults.writes_per_second = number("writes_per_second").unwrap_or(faults.writes_per_second);
         faults.reads_per_second = number("reads_per_second").unwrap_or(faults.reads_per_second);
+        if value["drop_history"] == true {
+            self.history.clear();
+            self.dropped = self.version;
+        }
     }
 
     fn counts(&self) -> Response<Bytes> {
@@ -161,123 +219,168 @@
         )
     }
 
-    fn call(&mut self, method: &Method, path: &str, query: &str, body: &str) -> Effect {
+    fn refuse(&mut self, call: &Call) -> Option<Response<Bytes>> {
         if self.faults.down {
-            return Effect::Answer(answer(503, json!({})));
+            return Some(answer(503, json!({})));
         }
-        let is_write = matches!(*method, Method::POST | Method::PUT);
-        if !self.is_allowed(is_write, body) {
+        let is_allowed = match call.is_write() {
+            true => self.writes.take(self.faults.writes_per_second),
+            false => self.reads.take(self.faults.reads_per_second),
+        };
+        if !is_allowed {
             self.throttled += 1;
-            return Effect::Answer(answer(429, json!({})));
         }
-        let response = match (method, path) {
-            (&Method::GET, "/table") => self.list(query),
-            (&Method::POST, "/table") => self.commit(body),
-            (&Method::GET, path) => self.get(path),
-            (&Method::PUT, path) => self.put_object(path, body),
-            _ => answer(405, json!({})),
-        };
-        let is_lost = is_write && self.random.f64() < self.faults.lose_answers;
-        if is_lost { Effect::Lose } else { Effect::Answer(response) }
-    }
-
-    /// A transaction counts for each row that it writes.
-    fn is_allowed(&mut self, is_write: bool, body: &str) -> bool {
-        let (bucket, rate, cost) = match is_write {
-            true => {
-                let value: Value = serde_json::from_str(body).unwrap_or_default();
-                let rows = value["writes"].as_array().map_or(1, Vec::len);
-                (&mut self.writes, self.faults.writes_per_second, rows as f64)
-            }
-            false => (&mut self.reads, self.faults.reads_per_second, 1.0),
-        };
-        bucket.take(rate, cost)
+        (!is_allowed).then(|| answer(429, json!({})))
     }
 
-    fn get(&self, path: &str) -> Response<Bytes> {
-        if let Some(key) = path.strip_prefix("/table/") {
-            return match self.rows.get(&unescape(key)) {
-                Some((tag, value)) => tagged(*tag, value.clone()),
-                None => answer(404, json!({})),
+    fn call(&mut self, arrived: Instant, call: &Call) -> Effect {
+        if call.is_write() {
+            return match self.random.f64() < self.faults.lose_answers {
+                true => Effect::Lose { after: self.faults.lost_effect_after },
+                false => Effect::Answer(self.write(call)),
             };
         }
-        let object =
-            path.strip_prefix("/objects/").and_then(|name| self.objects.get(&unescape(name)));
-        match object {
-            Some(text) => tagged(0, text.clone()),
-            None => answer(404, json!({})),
-        }
+        Effect::Answer(match (&call.method, &*call.path) {
+            (&Method::GET, "/api/rows-get") => self.list(call),
+            (&Method::GET, "/api/rows-feed") => return self.feed(arrived, call),
+            (&Method::GET, path) => {
+                let name = path.strip_prefix("/api/blob-get/").map(unescape);
+                match name.and_then(|name| self.objects.get(&name)) {
+                    Some(object) => Response::new(object.clone()),
+                    None => answer(404, json!({})),
+                }
+            }
+            _ => answer(405, json!({})),
+        })
     }
 
-    fn put_object(&mut self, path: &str, body: &str) -> Response<Bytes> {
-        match path.strip_prefix("/objects/") {
+    fn write(&mut self, call: &Call) -> Response<Bytes> {
+        if call.path == "/api/rows-tx" {
+            return self.commit(&call.body);
+        }
+        match call.path.strip_prefix("/api/blob-put/") {
             Some(name) => {
-                self.objects.insert(unescape(name), body.into());
+                self.objects.insert(unescape(name), call.body.clone());
                 answer(200, json!({}))
             }
             None => answer(404, json!({})),
         }
     }
 
-    fn list(&self, query: &str) -> Response<Bytes> {
-        let field = |name: &str| {
-            let fields = query.split('&').filter_map(|field| field.split_once('='));
-            fields.filter(|(key, _)| *key == name).map(|(_, value)| unescape(value)).next()
+    fn list(&self, call: &Call) -> Response<Bytes> {
+        let table = call.field("table").unwrap_or_default();
+        let from = call.field("from").unwrap_or_default();
+        let end = call.field("target");
+        let limit = call.field("limit").and_then(|limit| limit.parse().ok()).unwrap_or(MAX_ROWS);
+        let limit = limit.min(MAX_ROWS);
+        let first = (table.clone(), from);
+        let in_range = |(place, _): &(&Place, _)| {
+            place.0 == table && end.as_ref().is_none_or(|end| place.1 < *end)
         };
-        let prefix = field("prefix").unwrap_or_default();
-        let after = field("after").unwrap_or_default();
-        let limit = field("limit").and_then(|limit| limit.parse().ok()).unwrap_or(100);
-        let rows = self.rows.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-        let rows = rows.take(limit).map(
-            |(key, (tag, value))| json!({ "key": key, "tag": tag.to_string(), "value": value }),
-        );
-        answer(200, json!({ "rows": rows.collect::<Vec<_>>() }))
+        let mut rows: Vec<Value> = self
+            .rows
+            .range(first..)
+            .take_while(in_range)
+            .take(limit + 1)
+            .map(|(place, row)| row_json(place, Some(row)))
+            .collect();
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        answer(200, self.stamped(json!({ "rows": rows, "has_more": has_more })))
     }
 
-    fn commit(&mut self, body: &str) -> Response<Bytes> {
-        let value: Value = serde_json::from_str(body).unwrap_or_default();
-        let Some(writes) = value["writes"].as_array() else {
-            return answer(400, json!({}));
-        };
-        let failed: Vec<usize> =
-            (0..writes.len()).filter(|place| !self.holds(&writes[*place])).collect();
-        if !failed.is_empty() {
-            return answer(412, json!({ "failed": failed }));
+    fn feed(&self, arrived: Instant, call: &Call) -> Effect {
+        let number = |name| call.field(name).and_then(|text| text.parse::<u64>().ok());
+        let (table, after) = (call.field("table").unwrap_or_default(), number("after"));
+        let after = after.unwrap_or(0);
+        if after < self.dropped {
+            return Effect::Answer(answer(410, self.stamped(json!({}))));
         }
-        let tags = writes.iter().map(|write| {
-            self.next_tag += 1;
-            let key = write["key"].as_str().unwrap_or_default().to_owned();
-            let value = write["value"].as_str().unwrap_or_default().to_owned();
-            self.rows.insert(key, (self.next_tag, value));
-            self.next_tag.to_string()
-        });
-        let tags: Vec<String> = tags.collect();
-        answer(200, json!({ "tags": tags }))
+        let news = self.history.iter().filter(|(ver, place)| *ver > after && place.0 == table);
+        let places: BTreeMap<&Place, u64> = news.map(|(ver, place)| (place, *ver)).collect();
+        if places.is_empty() {
+            let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
+            return Effect::Wait { until: arrived + wait };
+        }
+        let rows = places.into_keys().map(|place| row_json(place, self.rows.get(place)));
+        Effect::Answer(answer(200, self.stamped(json!({ "rows": rows.collect::<Vec<_>>() }))))
     }
 
-    fn holds(&self, write: &Value) -> bool {
-        let row = self.rows.get(write["key"].as_str().unwrap_or_default());
-        let condition = &write["if"];
-        if condition["absent"] == true {
-            return row.is_none();
+    fn no_news(&self) -> Response<Bytes> {
+        answer(200, self.stamped(json!({ "rows": [] })))
+    }
+
+    fn commit(&mut self, body: &[u8]) -> Response<Bytes> {
+        let value: Value = serde_json::from_slice(body).unwrap_or_default();
+        let list = |key: &str| value[key].as_array().cloned().unwrap_or_default();
+        let (expected, writes, deletes) = (list("expect"), list("writes"), list("deletes"));
+        if writes.is_empty() && deletes.is_empty() {
+            return answer(400, json!({}));
+        }
+        let standing = |row: &Value| self.rows.get(&place_of(row)).map_or(0, |(ver, _)| *ver);
+        if expected.iter().any(|row| row["ver"].as_u64() != Some(standing(row))) {
+            let rows: Vec<Value> = expected
+                .iter()
+                .map(place_of)
+                .filter_map(|place| Some(row_json(&place, Some(self.rows.get(&place)?))))
+                .collect();
+            return answer(412, self.stamped(json!({ "rows": rows })));
         }
-        match condition["tag"].as_str() {
-            Some(tag) => row.is_some_and(|(standing, _)| standing.to_string() == tag),
-            None => true,
+        self.version += 1;
+        for row in &writes {
+            let value = row["value"].as_str().unwrap_or_default().to_owned();
+            self.rows.insert(place_of(row), (self.version, value));
+            self.history.push((self.version, place_of(row)));
         }
+        for row in &deletes {
+            self.rows.remove(&place_of(row));
+            self.history.push((self.version, place_of(row)));
+        }
+        answer(200, self.stamped(json!({})))
+    }
+
+    fn stamped(&self, mut body: Value) -> Value {
+        body["ver"] = self.version.into();
+        body["now"] = format!("{}ms", self.started.elapsed().as_millis()).into();
+        body
+    }
+}
+
+impl Call {
+    fn is_write(&self) -> bool {
+        matches!(self.method, Method::POST | Method::PUT | Method::DELETE)
+    }
+
+    fn field(&self, name: &str) -> Option<String> {
+        let mut fields = self.query.split('&').filter_map(|field| field.split_once('='));
+        fields.find(|(key, _)| *key == name).map(|(_, value)| unescape(value))
+    }
+}
+
+fn place_of(row: &Value) -> Place {
+    let text = |key: &str| row[key].as_str().unwrap_or_default().to_owned();
+    (text("table"), text("key"))
+}
+
+fn row_json(place: &Place, row: Option<&(u64, String)>) -> Value {
+    match row {
+        Some((ver, value)) => {
+            json!({ "table": place.0, "part": "", "key": place.1, "value": value, "ver": ver })
+        }
+        None => json!({ "table": place.0, "part": "", "key": place.1, "deleted": true }),
     }
 }
 
 impl Bucket {
-    fn take(&mut self, rate: f64, cost: f64) -> bool {
+    fn take(&mut self, rate: f64) -> bool {
         let now = Instant::now();
         let earned = (now - self.at).as_secs_f64() * rate;
         self.tokens = (self.tokens + earned).min(rate.max(64.0));
         self.at = now;
-        let is_allowed = self.tokens >= cost;
+        let is_allowed = self.tokens >= 1.0;
         if is_allowed {
-            self.tokens -= cost;
-            self.count += cost as u64;
+            self.tokens -= 1.0;
+            self.count += 1;
         }
         is_allowed
     }
@@ -289,14 +392,6 @@
     response
 }
 
-fn tagged(tag: u64, text: String) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::from(text));
-    if let Ok(tag) = hyper::header::HeaderValue::try_from(tag.to_string()) {
-        response.headers_mut().insert(hyper::header::ETAG, tag);
-    }
-    response
-}
-
 fn unescape(text: &str) -> String {
     let mut bytes = Vec::new();
     let mut rest = text.bytes();
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::{call, fleet, plan};
-use lab::fleet::{Fleet, wait_until};
+use lab::fleet::{Fleet, wait_until, with_store};
 use serde_json::{Value, json};
 
 fn states(fleet: &Fleet, at: usize) -> Vec<(String, String)> {
@@ -78,14 +78,13 @@
     let fleet = fleet(1);
     let publish = |who: &'static str, body: String, platform| {
         std::thread::spawn(move || {
-            let store = platform::Store::new(platform::Settings::at(platform));
             let publication = cli::publish::Publication {
                 id: format!("{who}-id").into(),
                 who: who.into(),
                 files: vec![cli::files::File { service: "desk".into(), body: body.into() }],
                 remove: Vec::new(),
             };
-            futures_lite::future::block_on(cli::publish::publish(&store, publication))
+            with_store(platform, async |store| cli::publish::publish(&store, publication).await)
                 .map(|(published, _)| published)
                 .map_err(|report| format!("{report:?}"))
         })
@@ -109,8 +108,7 @@
     let body = common::DESK.replace("2s", "5s");
     let revision = fleet.publish(&[("desk".into(), body.into())]).expect("it is settled");
     assert_eq!(revision, 2);
-    let store = platform::Store::new(platform::Settings::at(fleet.platform));
-    let entries = futures_lite::future::block_on(cli::history::read(&store, 10));
+    let entries = with_store(fleet.platform, async |store| cli::history::read(&store, 10).await);
     assert_eq!(entries.expect("the log is read").len(), 2);
 }
 
@@ -167,31 +165,30 @@
 #[test]
 fn objects_and_rows_of_the_platform_are_read_as_they_were_written() {
     let fleet = Fleet::start_platform(plan(1, 1, Duration::ZERO, 1)).expect("a platform");
-    let store = platform::Store::new(platform::Settings::at(fleet.platform));
-    let write = |key: &str, condition| platform::Write {
+    let write = |key: &str, condition| store::Write {
         key: key.into(),
         condition,
         value: format!("value of {key}").into(),
     };
-    futures_lite::future::block_on(async {
+    with_store(fleet.platform, async |store| {
         assert_eq!(store.read_object("a b/c").await, Ok(None));
         assert!(store.write_object("a b/c", "content").await);
         assert_eq!(store.read_object("a b/c").await, Ok(Some("content".into())));
-        let absent = platform::Condition::Absent;
+        let absent = store::Condition::Absent;
         let both = vec![write("k/1", absent.clone()), write("k/2", absent.clone())];
-        let platform::Commit::Done(tags) = store.commit(both).await else {
+        let store::Commit::Done(tags) = store.commit(both).await else {
             panic!("nothing speaks against it");
         };
         let mixed = vec![write("k/3", absent.clone()), write("k/1", absent)];
-        assert_eq!(store.commit(mixed).await, platform::Commit::Conflict(vec![1]));
+        assert_eq!(store.commit(mixed).await, store::Commit::Conflict(vec![1]));
         assert_eq!(store.read("k/3").await, Ok(None), "all rows are written or none");
-        let tagged = platform::Condition::Tag(tags[0].clone());
+        let tagged = store::Condition::Tag(tags[0].clone());
         assert!(matches!(
             store.commit(vec![write("k/1", tagged.clone())]).await,
-            platform::Commit::Done(_)
+            store::Commit::Done(_)
         ));
         let again = store.commit(vec![write("k/1", tagged)]).await;
-        assert_eq!(again, platform::Commit::Conflict(vec![0]));
+        assert_eq!(again, store::Commit::Conflict(vec![0]));
         let rows = store.list("k/", "k/1", 10).await.expect("it answers");
         assert_eq!(rows.len(), 1);
         assert_eq!(&*rows[0].key, "k/2");
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -5,22 +5,27 @@
 
 use quickcheck::quickcheck;
 use route::{
-    Budget, Budgets, Call, Choice, Ending, Failure, Load, Policy, Pool, Retry, Situation, Target,
-    decide_retry,
+    Budget, Budgets, Call, Choice, Ending, Failure, Load, Policy, Pool, Retry, Shares, Situation,
+    Target, decide_retry,
 };
 
 const SERVICE: Duration = Duration::from_millis(20);
-const URGENT: Call = Call { may_wait: false, repeatable: true };
+fn urgent() -> Call {
+    Call { may_wait: false, repeatable: true, kind: "read".into() }
+}
 
 fn pool(targets: u64) -> Pool {
-    let mut pool = Pool::new(Policy::Bronzeport, Budgets::new(0.01, 0.1, 0.02));
+    let mut pool = Pool::new(
+        Policy::Bronzeport,
+        Budgets::new(Shares { probes: 0.01, retries: 0.1, hedges: 0.02 }),
+    );
     let target = |node| Target { node, rtt: Duration::from_millis(1), slots: 4 };
     pool.set_targets((1..=targets).map(target));
     pool
 }
 
 fn load(in_flight: u16, queued: u16) -> Load {
-    Load { in_flight, queued, patient: 0, slots: 4, service: SERVICE, leaving: false }
+    Load { in_flight, queued, patient: 0, slots: 4, service: SERVICE, leaving: false, pace: 0 }
 }
 
 /// Makes `calls` calls one after the other and counts where they go.
@@ -33,11 +38,11 @@
     let mut random = fastrand::Rng::with_seed(7);
     let mut counts = HashMap::new();
     for _ in 0..calls {
-        let Choice::Send { node, .. } = pool.choose(*now, &mut random, &[], URGENT) else {
+        let Choice::Send { node, .. } = pool.choose(*now, &mut random, &[], &urgent()) else {
             continue;
         };
         *counts.entry(node).or_default() += 1;
-        let attempt = pool.begin(*now, node, false);
+        let attempt = pool.begin(*now, node, &urgent());
         let (ending, took) = ending(node);
         *now += took;
         pool.end(*now, node, attempt, ending);
@@ -68,10 +73,10 @@
     let mut pool = pool(2);
     spread(&mut pool, &mut now, 50, |_| answered(SERVICE));
     let mut random = fastrand::Rng::with_seed(1);
-    pool.begin(now, 1, false);
+    pool.begin(now, 1, &urgent());
     now += SERVICE * 10;
     for _ in 0..20 {
-        let choice = pool.choose(now, &mut random, &[], URGENT);
+        let choice = pool.choose(now, &mut random, &[], &urgent());
         assert!(matches!(choice, Choice::Send { node: 2, .. }), "{choice:?}");
     }
 }
@@ -108,12 +113,12 @@
     pool.observe_load(now, 2, load(1, 0));
     pool.observe_load(now, 3, Load { leaving: true, ..load(0, 0) });
     for _ in 0..20 {
-        let choice = pool.choose(now, &mut random, &[], URGENT);
+        let choice = pool.choose(now, &mut random, &[], &urgent());
         assert_eq!(choice, Choice::Send { node: 2, may_queue: false });
     }
-    let last = pool.choose(now, &mut random, &[2], URGENT);
+    let last = pool.choose(now, &mut random, &[2], &urgent());
     assert_eq!(last, Choice::Send { node: 1, may_queue: true });
-    assert_eq!(pool.choose(now, &mut random, &[1, 2], URGENT), Choice::Nowhere);
+    assert_eq!(pool.choose(now, &mut random, &[1, 2], &urgent()), Choice::Nowhere);
 }
 
 #[test]
@@ -123,9 +128,9 @@
     let mut random = fastrand::Rng::with_seed(1);
     pool.observe_load(now, 1, Load { patient: 40, ..load(2, 0) });
     pool.observe_load(now, 2, load(3, 0));
-    let urgent = pool.choose(now, &mut random, &[], URGENT);
-    assert!(matches!(urgent, Choice::Send { node: 1, .. }), "{urgent:?}");
-    let patient = pool.choose(now, &mut random, &[], Call { may_wait: true, ..URGENT });
+    let prompt = pool.choose(now, &mut random, &[], &urgent());
+    assert!(matches!(prompt, Choice::Send { node: 1, .. }), "{prompt:?}");
+    let patient = pool.choose(now, &mut random, &[], &Call { may_wait: true, ..urgent() });
     assert!(matches!(patient, Choice::Send { node: 2, .. }), "{patient:?}");
 }
 
@@ -139,10 +144,10 @@
     let mut random = fastrand::Rng::with_seed(1);
     pool.observe_load(now, 1, load(1, 0));
     pool.observe_load(now, 2, load(1, 0));
-    let choice = pool.choose(now, &mut random, &[], URGENT);
+    let choice = pool.choose(now, &mut random, &[], &urgent());
     assert!(matches!(choice, Choice::Send { node: 1, .. }), "{choice:?}");
     pool.observe_load(now, 1, load(4, 4));
-    let choice = pool.choose(now, &mut random, &[], URGENT);
+    let choice = pool.choose(now, &mut random, &[], &urgent());
     assert!(matches!(choice, Choice::Send { node: 2, .. }), "{choice:?}");
 }
 
@@ -166,15 +171,19 @@
 fn a_hedge_needs_its_budget_and_a_very_late_call_may_use_that_of_retries() {
     let now = Instant::now();
     let mut pool = pool(3);
-    assert_eq!(pool.decide_hedge(now, &[1], false), None, "nothing is earned yet");
+    assert_eq!(pool.decide_hedge(now, &[1], &urgent(), false), None, "nothing is earned yet");
     (0..10).for_each(|_| pool.budgets.earn());
-    assert_eq!(pool.decide_hedge(now, &[1], false), None, "2% of ten calls");
-    assert!(pool.decide_hedge(now, &[1], true).is_some_and(|node| node != 1));
-    assert_eq!(pool.decide_hedge(now, &[1], true), None, "10% of ten calls");
+    assert_eq!(pool.decide_hedge(now, &[1], &urgent(), false), None, "2% of ten calls");
+    assert!(pool.decide_hedge(now, &[1], &urgent(), true).is_some_and(|node| node != 1));
+    assert_eq!(pool.decide_hedge(now, &[1], &urgent(), true), None, "10% of ten calls");
     (0..50).for_each(|_| pool.budgets.earn());
     pool.observe_load(now, 2, load(4, 1));
     pool.observe_load(now, 3, load(4, 1));
-    assert_eq!(pool.decide_hedge(now, &[1], false), None, "no other target has a free slot");
+    assert_eq!(
+        pool.decide_hedge(now, &[1], &urgent(), false),
+        None,
+        "no other target has a free slot"
+    );
 }
 
 fn situation(failure: Failure) -> Situation {
@@ -185,6 +194,7 @@
         redirects: 1,
         retries: 1,
         crashes: 0,
+        attempts_left: 4,
         remaining: Duration::from_secs(1),
         needed: Duration::from_millis(5),
     }
@@ -204,7 +214,11 @@
     assert_eq!(decide_retry(refused_after_loss, &mut budget), Retry::GiveUp);
     let crashed_twice = Situation { crashes: 2, ..situation(Failure::Crashed) };
     assert_eq!(decide_retry(crashed_twice, &mut budget), Retry::GiveUp);
-    let no_time = Situation { remaining: Duration::from_millis(1), ..situation(Failure::Busy) };
+    let no_time = Situation {
+        attempts_left: 4,
+        remaining: Duration::from_millis(1),
+        ..situation(Failure::Busy)
+    };
     assert_eq!(decide_retry(no_time, &mut budget), Retry::GiveUp);
 }
 
@@ -248,7 +262,7 @@
             let mut pool = Pool::new(*policy, Budgets::default());
             let target = |node| Target { node, rtt: Duration::ZERO, slots: 2 };
             pool.set_targets((1..8).map(target));
-            match pool.choose(now, &mut random, &tried, URGENT) {
+            match pool.choose(now, &mut random, &tried, &urgent()) {
                 Choice::Send { node, .. } => !tried.contains(&node),
                 Choice::Nowhere => (1..8).all(|node| tried.contains(&node)),
             }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -137,12 +137,7 @@
     }
 
     /// Waits up to `wait` for changes of a table after a version.
-    pub async fn feed(
-        &self,
-        table: &str,
-        after: Version,
-        wait: Duration,
-    ) -> Result<Rows, Failure> {
+    pub async fn feed(&self, table: &str, after: Version, wait: Duration) -> Result<Rows, Failure> {
         let request = (self.dialect.feed)(table, after, wait);
         self.rows(request, wait + FEED_SLACK.max(self.timeout)).await
     }
--- a/crates/store/tests/circuit.rs
+++ b/crates/store/tests/circuit.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use store::{Batch, Circuit, Condition, Write};
 use quickcheck::quickcheck;
+use store::{Batch, Circuit, Condition, Write};
 
 #[test]
 fn a_platform_that_does_not_answer_is_asked_less_and_less() {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -155,13 +155,12 @@
         if !is_own(&head.headers) {
             return Err(Fault::Foreign);
         }
-        let body =
-            Limited::new(body, self.max_answer).collect().await.map_err(|error| {
-                match error.is::<http_body_util::LengthLimitError>() {
-                    true => Fault::TooLarge,
-                    false => Fault::Lost,
-                }
-            })?;
+        let body = Limited::new(body, self.max_answer).collect().await.map_err(|error| {
+            match error.is::<http_body_util::LengthLimitError>() {
+                true => Fault::TooLarge,
+                false => Fault::Lost,
+            }
+        })?;
         self.keep(sender, idle_time(&head.headers));
         Ok(Response::from_parts(head, body.to_bytes()))
     }
@@ -191,8 +190,7 @@
         let mut fields = text.split(',').filter_map(|field| field.trim().split_once('='));
         fields.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?.1.trim().parse().ok()
     });
-    let limit = seconds.map_or(IDLE_TIME, |seconds| {
-        Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)
-    });
+    let limit = seconds
+        .map_or(IDLE_TIME, |seconds| Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN));
     limit.min(IDLE_TIME)
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -30,6 +30,7 @@
             .map(|n| Hold { fingerprint: u64::MAX - n, crash: u64::MAX / 3 + n })
             .collect(),
         digest: u64::MAX,
+        load: None,
     }
 }
 
