Log lines as JSON on standard output, held until a request's end is known

Change: each decision is an event with the inputs that decided it and their age; lines of requests that went badly, and of one id in 32, are written by a thread of its own, bounded in rate and in memory; what is dropped is counted.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -158,7 +158,7 @@
             hedge_after.filter(|_| progress.reached + 2 <= call.treatment.max_attempts);
         let node = route.node;
         let may_queue = route.may_queue;
-        self.note(call, Event::Sent { node, may_queue });
+        self.note(call, Event::Sent { to: node, may_queue, belief: route.belief });
         let first = self.send(call, deadline, claim_tag, route, crashes);
         let both = async {
             let Some(hedge_after) = hedge_after else {
@@ -220,7 +220,7 @@
             false => "bronzeport_hedges_total",
         };
         metrics::counter!(counter).increment(1);
-        self.note(call, Event::Hedged { node: route.node });
+        self.note(call, Event::Hedged { to: route.node, belief: route.belief });
         progress.tried.push(route.node);
         progress.reached += 1;
         Some(route)
@@ -455,7 +455,7 @@
 fn event_of(node: Node, answer: &Answer) -> Event {
     let Answer { outcome, reason, status, service, .. } = *answer;
     match outcome {
-        Outcome::Ran => Event::Answered { node, status, service },
-        _ => Event::Failed { node, reason, outcome },
+        Outcome::Ran => Event::Answered { from: node, status, service_ms: service },
+        _ => Event::Failed { from: node, reason, outcome },
     }
 }
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -32,6 +32,8 @@
 pub(crate) struct Treatment {
     /// Name of the rule or path.
     pub(crate) kind: Box<str>,
+    /// Revision of the configuration that says so; 0 for a service's file.
+    pub(crate) revision: u64,
     pub(crate) repeat: Repeat,
     pub(crate) may_wait: bool,
     /// Longest time that the caller is kept waiting.
@@ -56,6 +58,7 @@
         match service.find_rule(&head.method, &head.path) {
             Match::Rule(rule) => Ok(Self {
                 kind: rule.name.clone(),
+                revision: 0,
                 repeat: rule.repeat,
                 may_wait: rule.may_wait,
                 answer_within: rule.answer_within,
@@ -77,9 +80,10 @@
     }
 
     /// What the table of paths says of a request.
-    pub(crate) fn of_path(path: &Path, body_bytes: usize) -> Self {
+    pub(crate) fn of_path(path: &Path, revision: u64, body_bytes: usize) -> Self {
         Self {
             kind: path.name.clone(),
+            revision,
             repeat: path.repeat,
             may_wait: false,
             answer_within: path.answer_within,
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -51,7 +51,7 @@
     /// Give the settings of a service.
     Service { name: Box<str>, reply: Reply<Option<Rc<Service>>> },
     /// Give what the table of paths says of a request.
-    Path { hostname: Box<str>, path: Box<str>, reply: Reply<Option<(Rc<Path>, Bounds)>> },
+    Path { hostname: Box<str>, path: Box<str>, reply: Reply<Option<Found>> },
     /// The table of paths as it stands in the store.
     Table { text: Box<str> },
     /// A peer has this revision.
@@ -72,6 +72,15 @@
     State { reply: Reply<State> },
 }
 
+/// What the table of paths says of a request.
+#[derive(Debug)]
+pub(crate) struct Found {
+    pub(crate) path: Rc<Path>,
+    pub(crate) bounds: Bounds,
+    /// Revision of the table.
+    pub(crate) revision: Revision,
+}
+
 /// What is in force.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct State {
@@ -130,8 +139,10 @@
             }
             Ask::Path { hostname, path, reply } => {
                 let table = self.book.table();
-                let found = table
-                    .and_then(|table| Some((table.find(&hostname, &path)?.clone(), table.bounds)));
+                let found = table.and_then(|table| {
+                    let path = table.find(&hostname, &path)?.clone();
+                    Some(Found { path, bounds: table.bounds, revision: table.revision })
+                });
                 reply.send(found);
             }
             Ask::Table { text } => self.install_table(text),
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -109,6 +109,8 @@
     pub answer: Answer,
     /// One line for people, where no target answered.
     pub text: Box<str>,
+    /// Whether the answer comes too late to be of full use.
+    pub is_late: bool,
 }
 
 /// Which target a request is for.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -108,7 +108,9 @@
         }
         let status = response.status().as_u16();
         if let Some(id) = last.id {
-            self.note(&id, Event::Ended { outcome, reason, status });
+            let after_ms = self.clock.now() - arrived;
+            let is_late = last.is_late;
+            self.note(&id, Event::Ended { outcome, reason, status, after_ms, is_late });
         }
         metrics::counter!(
             "bronzeport_calls_total",
@@ -126,17 +128,28 @@
             Ok(call) => call,
             Err(refused) => return self.refusal(None, refused),
         };
-        let service = call.service.clone();
-        self.note(&call.id, Event::Arrived { service, depth: call.depth });
+        let treatment = &call.treatment;
+        let event = Event::Arrived {
+            service: call.service.clone(),
+            kind: treatment.kind.clone(),
+            depth: call.depth,
+            revision: treatment.revision,
+            deadline_ms: call.deadline.as_millis() as u64,
+        };
+        self.note(&call.id, event);
+        let mut waiting = Caller { entry: self, id: Some(call.id.clone()), arrived };
         let deadline = arrived + call.deadline;
         let answer = match self.check(&call).await {
             Some(answer) => self.settle_refusal(&call, None, answer).await,
             None if call.is_claimed() => self.run_once(&call, deadline).await,
             None => self.attempts.run(&call, deadline, "").await,
         };
+        waiting.id = None;
+        let is_late = self.clock.now() > arrived + call.treatment.aim;
         let reason = journal::reason_text(answer.reason);
         let outcome = journal::outcome_text(answer.outcome);
         Final {
+            is_late,
             id: Some(call.id),
             entry: self.node,
             answer,
@@ -185,9 +198,10 @@
                     reply,
                 };
                 let found = self.configuration.ask(ask).await.flatten();
-                let found = found.and_then(|(path, bounds)| {
-                    let service = path.service(fastrand::f64())?.into();
-                    Some((service, Treatment::of_path(&path, bounds.body_bytes)))
+                let found = found.and_then(|found| {
+                    let service = found.path.service(fastrand::f64())?.into();
+                    let body_bytes = found.bounds.body_bytes;
+                    Some((service, Treatment::of_path(&found.path, found.revision, body_bytes)))
                 });
                 match found {
                     Some(found) => Ok(found),
@@ -303,6 +317,7 @@
     fn refusal(&self, id: Option<Box<str>>, refused: Refused) -> Final {
         Final {
             id,
+            is_late: false,
             entry: self.node,
             answer: match refused.reason {
                 Reason::NotReady => Answer {
@@ -321,6 +336,23 @@
     }
 }
 
+/// A caller that waits for its answer; that it has gone is noted.
+struct Caller<'a> {
+    entry: &'a Entry,
+    /// Id of its request; `None` once the answer is there.
+    id: Option<Box<str>>,
+    arrived: Instant,
+}
+
+impl Drop for Caller<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = &self.id {
+            let after_ms = self.entry.clock.now() - self.arrived;
+            self.entry.note(id, Event::Left { after_ms });
+        }
+    }
+}
+
 /// Counts a call for as long as its caller waits.
 struct Counted<'a>(&'a Entry);
 
--- a/crates/daemon/src/guard/copies.rs
+++ b/crates/daemon/src/guard/copies.rs
@@ -93,7 +93,8 @@
         metrics::counter!("bronzeport_guard_refused_total", "reason" => journal::reason_text(reason))
             .increment(1);
         let id = job.request.id.clone();
-        self.note(&id, Event::Refused { reason });
+        let inside = self.inside();
+        self.note(&id, Event::Refused { reason, retry_after_ms: after, inside });
         let refusal = self.refusal(Outcome::NotRun, reason, after);
         if !job.is_claimed() {
             job.answer(refusal);
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -16,7 +16,7 @@
 use super::{Ask, Due, Heard, REPORT_AGE, Status, WATCH_EVERY};
 use crate::claims::Claims;
 use crate::edge::{Announcement, Edge, Fate, Identity, Notice, TargetAnswer};
-use crate::journal::{self, Event};
+use crate::journal::{self, Event, Inside};
 use crate::target::{Look, Run, Target};
 use crate::{membership, names};
 
@@ -142,6 +142,20 @@
         membership.send(membership::Ask::Load(load));
     }
 
+    /// The state here as log lines tell it.
+    pub(super) fn inside(&self) -> Inside {
+        let load = self.load();
+        Inside {
+            in_flight: load.in_flight,
+            queued: load.queued,
+            slots: load.slots,
+            pace: load.pace,
+            report_age_ms: self
+                .report
+                .map_or(0, |report| (self.now() - report.at).as_millis() as u64),
+        }
+    }
+
     pub(super) fn refusal(
         &self,
         outcome: Outcome,
@@ -154,7 +168,14 @@
     fn arrive(&mut self, ticket: Ticket, request: Request, reply: Reply<Answer>) {
         let now = self.now();
         if let Some(refusal) = self.check(now, &request) {
-            self.note(&request.id, Event::Refused { reason: refusal.reason });
+            self.note(
+                &request.id,
+                Event::Refused {
+                    reason: refusal.reason,
+                    retry_after_ms: refusal.retry_after,
+                    inside: self.inside(),
+                },
+            );
             reply.send(refusal);
             return;
         }
@@ -240,12 +261,12 @@
         let id = job.request.id.clone();
         match self.gate.arrive(now, arrival) {
             Verdict::Start => {
-                self.note(&id, Event::Admitted);
+                self.note(&id, Event::Admitted { inside: self.inside() });
                 self.jobs.insert(ticket, job);
                 self.start_run(ticket);
             }
             Verdict::Wait => {
-                self.note(&id, Event::Queued);
+                self.note(&id, Event::Queued { inside: self.inside() });
                 self.jobs.insert(ticket, job);
             }
             Verdict::Refuse(refusal) => {
@@ -383,8 +404,9 @@
     /// Answers a request that went to the target, and its copies.
     fn finish(&mut self, mut job: Job, answer: Answer) {
         let request = job.request.clone();
-        let Answer { outcome, reason, status, .. } = answer;
-        self.note(&request.id, Event::Ran { outcome, reason, status });
+        let Answer { outcome, reason, status, service, .. } = answer;
+        let ran = Event::Ran { outcome, reason, status, service_ms: service };
+        self.note(&request.id, ran);
         metrics::counter!("bronzeport_guard_ran_total", "outcome" => journal::outcome_text(outcome))
             .increment(1);
         if !request.repeatable && !request.once {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod guard;
 mod headers;
 mod journal;
+mod logs;
 mod membership;
 mod names;
 pub mod node;
@@ -34,7 +35,4 @@
 mod surroundings;
 mod target;
 
-/// Starts the log that the settings ask for.
-pub fn start_log(settings: &settings::Settings) {
-    env_logger::Builder::new().parse_filters(&settings.log).init();
-}
+pub use logs::start as start_log;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -115,7 +115,7 @@
 
     let store = settings.platform.map(|at| store::Settings::at(at, edge.store));
     storage::start(kernel, store.map(|settings| Store::new(kernel, settings)));
-    journal::start(kernel);
+    journal::start(kernel, node);
     peers::start(kernel);
     router::start(kernel, settings.policy, seed);
     let discipline = match settings.policy {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -13,6 +13,7 @@
     Target, decide_retry,
 };
 
+use crate::journal::Belief;
 use crate::{names, peers};
 
 /// Time limit of a probe.
@@ -79,6 +80,8 @@
     pub(crate) address: Box<str>,
     pub(crate) attempt: Attempt,
     pub(crate) may_queue: bool,
+    /// What is believed of the target.
+    pub(crate) belief: Belief,
     /// When a hedge is due; `None` when this policy does not hedge.
     pub(crate) hedge_after: Option<Duration>,
 }
@@ -122,6 +125,15 @@
     holds: Holds,
 }
 
+fn belief_of(expected: route::Expected) -> Belief {
+    Belief {
+        pace: expected.pace,
+        report_age_ms: expected.report_age.as_millis() as u64,
+        occupancy: expected.occupancy,
+        expected_ms: expected.time.as_secs_f64() * 1e3,
+    }
+}
+
 fn shares_of(service: &Service) -> Shares {
     Shares {
         probes: service.probe_share,
@@ -241,6 +253,7 @@
             Some(Route {
                 node,
                 address,
+                belief: belief_of(pool.expect(now, node, call)),
                 attempt: pool.begin(now, node, call),
                 may_queue,
                 hedge_after: hedges.then(|| pool.hedge_after(call)),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -27,7 +27,7 @@
 pub use budget::{Budget, Budgets, Shares};
 pub use estimate::{Load, Target};
 pub use policy::Policy;
-pub use pool::{Call, Choice, Ending, Pool};
+pub use pool::{Call, Choice, Ending, Expected, Pool};
 pub use retry::{Failure, Retry, Situation, decide_retry};
 pub use work::{USUAL_PACE, Works, pace_factor};
 
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -34,6 +34,19 @@
     pub kind: Box<str>,
 }
 
+/// What is expected of a call to one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Expected {
+    /// Pace that the target has told last, in percent of the usual; 0 if none.
+    pub pace: u16,
+    /// Age of what it has told.
+    pub report_age: Duration,
+    /// Requests there.
+    pub occupancy: f64,
+    /// Time until the answer.
+    pub time: Duration,
+}
+
 /// Where a call goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
@@ -147,6 +160,18 @@
         Choice::Send { node: self.estimates[index].target.node, may_queue: true }
     }
 
+    /// What is expected of a call to `node`.
+    pub fn expect(&self, now: Instant, node: Node, call: &Call) -> Expected {
+        let prior = self.prior(&call.kind);
+        let known = self.estimates.iter().find(|estimate| estimate.target.node == node);
+        known.map_or_else(Expected::default, |estimate| Expected {
+            pace: estimate.known_pace(),
+            report_age: estimate.report_age(now),
+            occupancy: estimate.occupancy(now, prior),
+            time: Duration::from_secs_f64(estimate.cost(now, prior, call.may_wait)),
+        })
+    }
+
     /// Notes that an attempt was sent to `node`.
     pub fn begin(&mut self, now: Instant, node: Node, call: &Call) -> Attempt {
         self.attempts += 1;
