--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -36,7 +36,7 @@
     /// Time that work takes there, in percent of the usual; 0 if not known.
     pub(crate) pace: u16,
     /// Age of the report that told it.
-    pub(crate) report_age_ms: u64,
+    pub(crate) report_age_ms: Option<u64>,
     /// Requests expected there.
     pub(crate) occupancy: f64,
     /// Time expected until the answer.
@@ -369,7 +369,10 @@
     fn text(&self) -> String {
         format!(
             "at pace {} as told {} ms ago, {:.1} requests there, {:.1} ms expected",
-            self.pace, self.report_age_ms, self.occupancy, self.expected_ms
+            self.pace,
+            self.report_age_ms.map_or("?".into(), |age| age.to_string()),
+            self.occupancy,
+            self.expected_ms
         )
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -160,9 +160,16 @@
     settings: &Settings,
 ) -> Stopped {
     let within = settings.stop_within;
-    leave(kernel);
     let Running { entry, callers, surroundings } = running;
     surroundings.leave();
+    // A target that announces itself may stay while its daemon is replaced, and
+    // tells when it leaves. It serves others until the callers here are gone.
+    let does_target_stay = settings.announce.is_some();
+    if does_target_stay {
+        log::info!("stopping: callers are sent elsewhere");
+    } else {
+        leave(kernel);
+    }
     // Callers that are connected are served once more, and told to close. Where
     // something asks for readiness, it takes a while until no new ones come.
     let callers = match settings.ready {
@@ -176,6 +183,9 @@
     let finish = async {
         kernel.clock().sleep(settings.linger.min(within)).await;
         drop(callers);
+        if does_target_stay {
+            leave(kernel);
+        }
         entry.refuse();
         while in_flight(kernel, &entry).await > 0 {
             kernel.clock().sleep(STOP_POLL).await;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -128,7 +128,7 @@
 fn belief_of(expected: route::Expected) -> Belief {
     Belief {
         pace: expected.pace,
-        report_age_ms: expected.report_age.as_millis() as u64,
+        report_age_ms: u64::try_from(expected.report_age.as_millis()).ok(),
         occupancy: expected.occupancy,
         expected_ms: expected.time.as_secs_f64() * 1e3,
     }
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -200,7 +200,8 @@
         let report = self.report.filter(|report| report.load.pace > 0)?;
         let known = fade(now - report.at, PACE_MEMORY);
         let pace = f64::from(report.load.pace) * known + prior.pace * (1.0 - known);
-        Some(prior.work?.mul_f64(pace / f64::from(USUAL_PACE)))
+        let work = prior.work.unwrap_or(FIRST_SERVICE);
+        Some(work.mul_f64(pace / f64::from(USUAL_PACE)))
     }
 
     pub(crate) fn observe_load(&mut self, now: Instant, load: Load) {
