A refusal no longer excludes a guard from the last try; no shedding by free slots

The first guard refused a lookup with 0 to 9 of 12 slots taken, since 105 ms miss its aim of 80 ms; the call then had to queue at the other, which was full, and was refused as late; its caller's run ended in 500. And 13 to 21 s: targets that shed at random with slots free had their slots cut to one. Ruled out: missing capacity (7.5 slots of work, 24 slots at hand). Change: a call may come back to a guard that refused, if that is still the cheapest, and may wait there. Shedding below 0.8 of the slots, with nothing waiting, does not lower a target's slots.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use futures::future::{Either, select};
 use kernel::{Clock, Kernel, Mailbox};
-use route::{Ending, Failure, Node, Retry, Situation};
+use route::{Ending, Failure, Node, Past, Retry, Situation};
 use wire::{Answer, Outcome, Reason, Request};
 
 use crate::call::Call;
@@ -40,7 +40,7 @@
 
 /// What has happened to one call so far.
 struct Progress {
-    tried: Vec<Node>,
+    past: Past,
     redirects: usize,
     retries: u32,
     crashes: u32,
@@ -67,7 +67,7 @@
     /// over. `claim_tag` is the tag of its row, if it may not be repeated.
     pub(crate) async fn run(&self, call: &Call, deadline: Instant, claim_tag: &str) -> Answer {
         let mut progress = Progress {
-            tried: Vec::new(),
+            past: Past::default(),
             redirects: 0,
             retries: 0,
             crashes: 0,
@@ -78,10 +78,11 @@
         let mut last = None;
         loop {
             let is_first = last.is_none();
-            let Some(route) = self.choose(call, &progress.tried, is_first).await else {
+            let Some(route) = self.choose(call, &progress.past, is_first).await else {
                 let none = || Answer::refusal(Outcome::NotRun, Reason::NoTarget, self.node);
                 return progress.conclude(last.unwrap_or_else(none));
             };
+            let node = route.node;
             let attempted = self.attempt(call, deadline, claim_tag, route, &mut progress).await;
             let Some(answer) = attempted else {
                 return progress.expire(self.node);
@@ -89,7 +90,7 @@
             let Some(failure) = failure_of(&answer) else {
                 return answer;
             };
-            progress.note(failure, &answer);
+            progress.note(node, failure, &answer);
             let situation = progress.situation(call, failure, deadline, self.clock.now());
             if self.decide(call, situation).await == Retry::GiveUp {
                 return progress.conclude(answer);
@@ -115,14 +116,14 @@
         }
     }
 
-    async fn choose(&self, call: &Call, tried: &[Node], is_first: bool) -> Option<Route> {
-        let (service, tried) = (call.service.clone(), tried.to_vec());
+    async fn choose(&self, call: &Call, past: &Past, is_first: bool) -> Option<Route> {
+        let (service, past) = (call.service.clone(), past.clone());
         let call = route::Call {
             may_wait: call.treatment.may_wait,
             repeatable: call.is_repeatable(),
             kind: call.treatment.kind.clone(),
         };
-        let ask = |reply| router::Ask::Choose { service, tried, is_first, call, reply };
+        let ask = |reply| router::Ask::Choose { service, past, is_first, call, reply };
         self.router.ask(ask).await.flatten()
     }
 
@@ -150,7 +151,6 @@
         route: Route,
         progress: &mut Progress,
     ) -> Option<Answer> {
-        progress.tried.push(route.node);
         let crashes = progress.crashes as u8;
         let hedge_after =
             route.hedge_after.filter(|_| call.is_repeatable() && call.depth < MAX_HEDGED_DEPTH);
@@ -164,7 +164,7 @@
             let Some(hedge_after) = hedge_after else {
                 return first.await;
             };
-            self.hedge(call, deadline, crashes, hedge_after, first, progress).await
+            self.hedge(call, deadline, hedge_after, first, node, progress).await
         };
         let remaining = deadline.saturating_duration_since(self.clock.now());
         self.clock.timeout(remaining, both).await.ok()
@@ -178,9 +178,9 @@
         &self,
         call: &Call,
         deadline: Instant,
-        crashes: u8,
         hedge_after: Duration,
         first: impl Future<Output = Answer>,
+        first_node: Node,
         progress: &mut Progress,
     ) -> Answer {
         let mut first = Box::pin(first);
@@ -193,9 +193,11 @@
                 Either::Left((answer, _)) => return answer,
                 Either::Right(((), first)) => first,
             };
-            let Some(route) = self.choose_hedge(call, progress, is_very_late).await else {
+            let Some(route) = self.choose_hedge(call, progress, first_node, is_very_late).await
+            else {
                 continue;
             };
+            let crashes = progress.crashes as u8;
             let second = Box::pin(self.send(call, deadline, "", route, crashes));
             return match select(first, second).await {
                 Either::Left((one, other)) => better(one, other).await,
@@ -209,9 +211,11 @@
         &self,
         call: &Call,
         progress: &mut Progress,
+        first: Node,
         is_very_late: bool,
     ) -> Option<Route> {
-        let (service, tried) = (call.service.clone(), progress.tried.clone());
+        let service = call.service.clone();
+        let tried = [&progress.past.reached[..], &progress.past.refused, &[first]].concat();
         let kind = call.treatment.kind.clone();
         let ask = |reply| router::Ask::Hedge { service, kind, tried, is_very_late, reply };
         let route = self.router.ask(ask).await.flatten()?;
@@ -221,7 +225,7 @@
         };
         metrics::counter!(counter).increment(1);
         self.note(call, Event::Hedged { to: route.node, belief: route.belief });
-        progress.tried.push(route.node);
+        progress.past.reached.push(route.node);
         progress.reached += 1;
         Some(route)
     }
@@ -284,7 +288,12 @@
 }
 
 impl Progress {
-    fn note(&mut self, failure: Failure, answer: &Answer) {
+    fn note(&mut self, node: Node, failure: Failure, answer: &Answer) {
+        match failure {
+            Failure::Busy => self.past.refused.push(node),
+            _ if !self.past.reached.contains(&node) => self.past.reached.push(node),
+            _ => {}
+        }
         match failure {
             Failure::Busy | Failure::Leaving => self.redirects += 1,
             Failure::Unreachable if answer.outcome == Outcome::NotRun => self.retries += 1,
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -20,6 +20,8 @@
 use crate::target::{Look, Run, Target};
 use crate::{membership, names};
 
+/// Share of its slots up to which a target that sheds is not taken to be full.
+const FULL_SHARE: f64 = 0.8;
 /// When to come back to a target that is down.
 pub(super) const DOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time between two looks at a target without a health page that is there.
@@ -326,6 +328,8 @@
         let now = self.now();
         let end = match &run {
             Run::Answered(answer) if answer.fate == Fate::Ran => End::Answered(service),
+            // A target that sheds with slots free is not overloaded.
+            Run::Answered(answer) if has_room(answer) => End::Broken,
             Run::Answered(_) => End::Shed,
             Run::TooLarge => End::Answered(service),
             _ => End::Broken,
@@ -642,3 +646,10 @@
         }
     }
 }
+
+/// Whether a target says that it has slots free.
+fn has_room(answer: &TargetAnswer) -> bool {
+    answer.report.is_some_and(|report| {
+        f64::from(report.running) < f64::from(report.slots) * FULL_SHARE && report.waiting == 0
+    })
+}
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,8 +9,8 @@
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::Member;
 use route::{
-    Attempt, Budgets, Call, Choice, Ending, Load, Node, Policy, Pool, Retry, Shares, Situation,
-    Target, decide_retry,
+    Attempt, Budgets, Call, Choice, Ending, Load, Node, Past, Policy, Pool, Retry, Shares,
+    Situation, Target, decide_retry,
 };
 
 use crate::journal::Belief;
@@ -30,7 +30,8 @@
     /// Choose a target for an attempt.
     Choose {
         service: Box<str>,
-        tried: Vec<Node>,
+        /// Where the call has been.
+        past: Past,
         /// Whether this is the first attempt of a call.
         is_first: bool,
         /// What the choice depends on.
@@ -156,8 +157,8 @@
     fn take(&mut self, ask: Ask) {
         let now = self.now();
         match ask {
-            Ask::Choose { service, tried, is_first, call, reply } => {
-                let route = self.choose(now, &service, &tried, is_first, &call);
+            Ask::Choose { service, past, is_first, call, reply } => {
+                let route = self.choose(now, &service, &past, is_first, &call);
                 self.give(now, service, route, &call, reply);
             }
             Ask::Hedge { service, kind, tried, is_very_late, reply } => {
@@ -216,7 +217,7 @@
         &mut self,
         now: Instant,
         service: &str,
-        tried: &[Node],
+        past: &Past,
         is_first: bool,
         call: &Call,
     ) -> Option<(Node, bool)> {
@@ -225,7 +226,7 @@
         }
         let mut random = self.random.fork();
         let pool = self.pool(service);
-        let choice = pool.choose(now, &mut random, tried, call);
+        let choice = pool.choose(now, &mut random, past, call);
         if is_first && self.policy == Policy::Bronzeport {
             let stale = self.pool(service).decide_probe(now);
             if let Some(node) = stale {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,14 +6,14 @@
 //!
 //! ```
 //! use std::time::{Duration, Instant};
-//! use route::{Budgets, Call, Choice, Policy, Pool, Target};
+//! use route::{Budgets, Call, Choice, Past, Policy, Pool, Target};
 //!
 //! let now = Instant::now();
 //! let mut pool = Pool::new(Policy::Bronzeport, Budgets::default());
 //! pool.set_targets([Target { node: 1, rtt: Duration::from_micros(500), slots: 12 }]);
 //! let mut random = fastrand::Rng::with_seed(1);
 //! let call = Call { may_wait: false, repeatable: true, kind: "read".into() };
-//! let choice = pool.choose(now, &mut random, &[], &call);
+//! let choice = pool.choose(now, &mut random, &Past::default(), &call);
 //! assert_eq!(choice, Choice::Send { node: 1, may_queue: true });
 //! ```
 
@@ -27,7 +27,7 @@
 pub use budget::{Budget, Budgets, Shares};
 pub use estimate::{Load, Target};
 pub use policy::Policy;
-pub use pool::{Call, Choice, Ending, Expected, Pool};
+pub use pool::{Call, Choice, Ending, Expected, Past, Pool};
 pub use retry::{Failure, Retry, Situation, decide_retry};
 pub use work::{USUAL_PACE, Works, pace_factor};
 
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -34,6 +34,15 @@
     pub kind: Box<str>,
 }
 
+/// Where a call has been.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Past {
+    /// Targets that it may have reached, or that take no work.
+    pub reached: Vec<Node>,
+    /// Targets whose guards refused it because of their load.
+    pub refused: Vec<Node>,
+}
+
 /// What is expected of a call to one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Expected {
@@ -132,15 +141,17 @@
         self.estimates.iter().map(|estimate| estimate.target.node)
     }
 
-    /// Chooses a target that is not among `tried`.
+    /// Chooses a target that the call has not reached. One whose guard refused is
+    /// chosen again only when all others are worse as they are known now; it may
+    /// let the call wait then.
     pub fn choose(
         &mut self,
         now: Instant,
         random: &mut fastrand::Rng,
-        tried: &[Node],
+        past: &Past,
         call: &Call,
     ) -> Choice {
-        let candidates = self.candidates(now, tried);
+        let candidates = self.candidates(now, &past.reached);
         if candidates.is_empty() {
             return Choice::Nowhere;
         }
@@ -154,7 +165,7 @@
             }
             Policy::Bronzeport => match self.find_trial(now, &candidates, call) {
                 Some(index) => index,
-                None => return self.cheapest(now, candidates, tried.len(), call, random),
+                None => return self.cheapest(now, candidates, past, call, random),
             },
         };
         Choice::Send { node: self.estimates[index].target.node, may_queue: true }
@@ -282,12 +293,12 @@
         &mut self,
         now: Instant,
         candidates: Vec<usize>,
-        tried: usize,
+        past: &Past,
         call: &Call,
         random: &mut fastrand::Rng,
     ) -> Choice {
         let prior = self.prior(&call.kind);
-        let has_alternative = candidates.len() > 1 && tried < MAX_REDIRECTS;
+        let has_alternative = candidates.len() > 1 && past.refused.len() < MAX_REDIRECTS;
         let compared = pick_some(candidates, MAX_COMPARED, random);
         let costs = compared.into_iter().map(|index| {
             // Entries that know the same must not all choose the same target.
@@ -300,7 +311,9 @@
         };
         let estimate = &self.estimates[index];
         let is_free = estimate.has_free_slot(now, prior);
-        Choice::Send { node: estimate.target.node, may_queue: !(is_free && has_alternative) }
+        let has_refused = past.refused.contains(&estimate.target.node);
+        let may_queue = has_refused || !(is_free && has_alternative);
+        Choice::Send { node: estimate.target.node, may_queue }
     }
 
     fn next_in_turn(&mut self, candidates: &[usize]) -> usize {
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -5,7 +5,7 @@
 use crate::budget::Budget;
 
 /// Most refusals after which a call is sent elsewhere.
-pub(crate) const MAX_REDIRECTS: usize = 2;
+pub(crate) const MAX_REDIRECTS: usize = 3;
 /// Further refusals allowed when targets leave: each tells that its target is
 /// not to be tried again.
 const MAX_LEAVING: usize = 3;
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -5,11 +5,15 @@
 
 use quickcheck::quickcheck;
 use route::{
-    Budget, Budgets, Call, Choice, Ending, Failure, Load, Policy, Pool, Retry, Shares, Situation,
-    Target, decide_retry,
+    Budget, Budgets, Call, Choice, Ending, Failure, Load, Past, Policy, Pool, Retry, Shares,
+    Situation, Target, decide_retry,
 };
 
 const SERVICE: Duration = Duration::from_millis(20);
+fn reached(nodes: &[u64]) -> Past {
+    Past { reached: nodes.to_vec(), refused: Vec::new() }
+}
+
 fn urgent() -> Call {
     Call { may_wait: false, repeatable: true, kind: "read".into() }
 }
@@ -38,7 +42,8 @@
     let mut random = fastrand::Rng::with_seed(7);
     let mut counts = HashMap::new();
     for _ in 0..calls {
-        let Choice::Send { node, .. } = pool.choose(*now, &mut random, &[], &urgent()) else {
+        let Choice::Send { node, .. } = pool.choose(*now, &mut random, &reached(&[]), &urgent())
+        else {
             continue;
         };
         *counts.entry(node).or_default() += 1;
@@ -76,7 +81,7 @@
     pool.begin(now, 1, &urgent());
     now += SERVICE * 10;
     for _ in 0..20 {
-        let choice = pool.choose(now, &mut random, &[], &urgent());
+        let choice = pool.choose(now, &mut random, &reached(&[]), &urgent());
         assert!(matches!(choice, Choice::Send { node: 2, .. }), "{choice:?}");
     }
 }
@@ -113,12 +118,12 @@
     pool.observe_load(now, 2, load(1, 0));
     pool.observe_load(now, 3, Load { leaving: true, ..load(0, 0) });
     for _ in 0..20 {
-        let choice = pool.choose(now, &mut random, &[], &urgent());
+        let choice = pool.choose(now, &mut random, &reached(&[]), &urgent());
         assert_eq!(choice, Choice::Send { node: 2, may_queue: false });
     }
-    let last = pool.choose(now, &mut random, &[2], &urgent());
+    let last = pool.choose(now, &mut random, &reached(&[2]), &urgent());
     assert_eq!(last, Choice::Send { node: 1, may_queue: true });
-    assert_eq!(pool.choose(now, &mut random, &[1, 2], &urgent()), Choice::Nowhere);
+    assert_eq!(pool.choose(now, &mut random, &reached(&[1, 2]), &urgent()), Choice::Nowhere);
 }
 
 #[test]
@@ -128,9 +133,10 @@
     let mut random = fastrand::Rng::with_seed(1);
     pool.observe_load(now, 1, Load { patient: 40, ..load(2, 0) });
     pool.observe_load(now, 2, load(3, 0));
-    let prompt = pool.choose(now, &mut random, &[], &urgent());
+    let prompt = pool.choose(now, &mut random, &reached(&[]), &urgent());
     assert!(matches!(prompt, Choice::Send { node: 1, .. }), "{prompt:?}");
-    let patient = pool.choose(now, &mut random, &[], &Call { may_wait: true, ..urgent() });
+    let patient =
+        pool.choose(now, &mut random, &reached(&[]), &Call { may_wait: true, ..urgent() });
     assert!(matches!(patient, Choice::Send { node: 2, .. }), "{patient:?}");
 }
 
@@ -144,10 +150,10 @@
     let mut random = fastrand::Rng::with_seed(1);
     pool.observe_load(now, 1, load(1, 0));
     pool.observe_load(now, 2, load(1, 0));
-    let choice = pool.choose(now, &mut random, &[], &urgent());
+    let choice = pool.choose(now, &mut random, &reached(&[]), &urgent());
     assert!(matches!(choice, Choice::Send { node: 1, .. }), "{choice:?}");
     pool.observe_load(now, 1, load(4, 4));
-    let choice = pool.choose(now, &mut random, &[], &urgent());
+    let choice = pool.choose(now, &mut random, &reached(&[]), &urgent());
     assert!(matches!(choice, Choice::Send { node: 2, .. }), "{choice:?}");
 }
 
@@ -262,7 +268,7 @@
             let mut pool = Pool::new(*policy, Budgets::default());
             let target = |node| Target { node, rtt: Duration::ZERO, slots: 2 };
             pool.set_targets((1..8).map(target));
-            match pool.choose(now, &mut random, &tried, &urgent()) {
+            match pool.choose(now, &mut random, &reached(&tried), &urgent()) {
                 Choice::Send { node, .. } => !tried.contains(&node),
                 Choice::Nowhere => (1..8).all(|node| tried.contains(&node)),
             }
