Gate: learn whether a nearly full target slows down, and use fewer slots then

Change: the gate compares runs above and below 0.8 of the slots, in times of the kind's usual time at the pace; when the upper ones are 1.3 times slower, the slots stop at 0.8.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Ticket;
+use crate::knee::Knee;
 use crate::limit::Limit;
 use crate::queue::{Class, Queue, Waiting};
 
@@ -98,6 +99,7 @@
 #[derive(Debug)]
 pub struct Gate {
     limit: Limit,
+    knee: Knee,
     stated: u16,
     discipline: Discipline,
     running: BTreeSet<Ticket>,
@@ -115,6 +117,7 @@
     pub fn with_discipline(slots: u16, discipline: Discipline) -> Self {
         Self {
             limit: Limit::new(slots),
+            knee: Knee::default(),
             stated: slots.max(1),
             discipline,
             running: BTreeSet::new(),
@@ -160,6 +163,13 @@
         }
     }
 
+    /// Takes in how long a request ran beside others, `running` with it, where
+    /// `usual` was expected. A target that slows down when it is nearly full is
+    /// given fewer requests at a time.
+    pub fn observe_usual(&mut self, service: Duration, usual: Duration, running: usize) {
+        self.knee.observe(service, usual, running, self.stated);
+    }
+
     /// Takes a waiting request out. `false` when it does not wait: it runs or
     /// has ended.
     pub fn withdraw(&mut self, ticket: Ticket) -> bool {
@@ -204,6 +214,7 @@
     pub fn reopen(&mut self, slots: u16, is_cold: bool) {
         self.stated = slots.max(1);
         self.limit = Limit::new(slots);
+        self.knee = Knee::default();
         if !is_cold {
             self.limit.open();
         }
@@ -237,7 +248,7 @@
 
     /// Requests that may run at a time at present.
     pub fn slots(&self) -> u16 {
-        self.limit.current()
+        self.limit.current().min(self.knee.slots(self.stated))
     }
 
     /// Moving average of the service time.
@@ -246,7 +257,7 @@
     }
 
     fn has_free_slot(&self) -> bool {
-        self.running.len() < usize::from(self.limit.current())
+        self.running.len() < usize::from(self.slots())
     }
 
     fn admit_to_queue(&mut self, now: Instant, request: Request) -> Verdict {
@@ -280,7 +291,7 @@
 
     /// Time until a request with `ahead` others before it starts.
     fn wait_behind(&self, ahead: usize) -> Duration {
-        let turns = (ahead as f64 + 1.0) / f64::from(self.limit.current());
+        let turns = (ahead as f64 + 1.0) / f64::from(self.slots());
         self.limit.service().mul_f64(turns)
     }
 }
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod gate;
 mod hold;
+mod knee;
 mod limit;
 mod queue;
 
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -74,3 +74,20 @@
     gate.finish(late, 3, End::Answered(WORK));
     assert_eq!(gate.next(late), Next::Start(4), "2 is late whenever it starts");
 }
+
+/// Pattern: a target that takes 1.7 times as long when all of its slots are taken.
+#[test]
+fn a_target_that_slows_down_when_full_gets_fewer_at_a_time() {
+    let mut gate = open_gate(9);
+    for round in 0..200 {
+        let running = 1 + round % 9;
+        let slow = if running > 7 { 1.7 } else { 1.0 };
+        gate.observe_usual(WORK.mul_f64(slow), WORK, running);
+    }
+    assert_eq!(gate.slots(), 7);
+    let mut even = open_gate(9);
+    for round in 0..200 {
+        even.observe_usual(WORK, WORK, 1 + round % 9);
+    }
+    assert_eq!(even.slots(), 9, "a target that does not slow down keeps all");
+}
--- a/crates/daemon/src/guard/job.rs
+++ b/crates/daemon/src/guard/job.rs
@@ -20,6 +20,8 @@
     pub(super) nonce: u64,
     /// Pace of the target when the request was sent there.
     pub(super) pace: u16,
+    /// Requests that ran there then, this one included.
+    pub(super) running: usize,
     /// The work under way; dropping it ends it.
     pub(super) _work: Option<kernel::Task<()>>,
 }
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -189,6 +189,7 @@
             claim_tag: "".into(),
             nonce: fastrand::u64(..),
             pace: 0,
+            running: 0,
             request: Rc::new(request),
             _work: None,
         };
@@ -306,6 +307,7 @@
         };
         job.stage = Stage::Running;
         job.pace = self.report.map_or(0, |report| report.pace);
+        job.running = self.gate.in_flight();
         let (request, deadline) = (job.request.clone(), job.deadline);
         let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
         job._work = Some(self.kernel.spawn(async move {
@@ -373,7 +375,12 @@
                 self.holds.observe_answer(now, job.request.fingerprint);
                 let pace = self.report.map_or(0, |report| report.pace);
                 if pace == job.pace && answer.status < 500 {
-                    self.works.observe(&job.request.kind, service, pace);
+                    let kind = &job.request.kind;
+                    if let Some(usual) = self.works.usual(kind) {
+                        let usual = usual.mul_f64(pace_factor(pace));
+                        self.gate.observe_usual(service, usual, job.running);
+                    }
+                    self.works.observe(kind, service, pace);
                 }
                 let answer = self.answer_of(answer, service);
                 self.finish(job, answer);
