--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,7 +9,7 @@
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::Member;
 use route::{
-    Attempt, Budgets, Call, Choice, Ending, Load, Node, Past, Policy, Pool, Retry, Shares,
+    Attempt, Budget, Budgets, Call, Choice, Ending, Load, Node, Past, Policy, Pool, Retry, Shares,
     Situation, Target, decide_retry,
 };
 
@@ -21,7 +21,7 @@
 /// What the services of a table of paths may spend beyond one attempt for each
 /// call. The platform bounds all arrivals beyond the first to a fifth of the
 /// calls; calls that a repeated run makes count, too.
-const TABLE_SHARES: Shares = Shares { probes: 0.0, retries: 0.04, hedges: 0.02 };
+const TABLE_SHARES: Shares = Shares { probes: 0.0, retries: 0.03, hedges: 0.01, burst: 2.0 };
 /// Age of polled reports under the two-choices policy.
 const POLL_EVERY: Duration = Duration::from_millis(100);
 
@@ -140,6 +140,7 @@
         probes: service.probe_share,
         retries: service.retry_share,
         hedges: service.hedge_share,
+        burst: Budget::MAX_TOKENS,
     }
 }
 
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     share: f64,
+    burst: f64,
     tokens: f64,
 }
 
@@ -20,6 +21,8 @@
     pub retries: f64,
     /// Second attempts beside one that is late.
     pub hedges: f64,
+    /// Most tokens of a kind that are saved up.
+    pub burst: f64,
 }
 
 /// The budgets of one service.
@@ -34,18 +37,18 @@
 }
 
 impl Budget {
-    /// Most tokens that are saved up.
-    const MAX_TOKENS: f64 = 10.0;
+    /// Most tokens that are saved up unless the shares say otherwise.
+    pub const MAX_TOKENS: f64 = 10.0;
 
     /// A budget of `share` (parts of 1) of the calls. It starts empty, so that
     /// the share holds for a fleet that has just started, too.
     pub fn new(share: f64) -> Self {
-        Self { share, tokens: 0.0 }
+        Self { share, burst: Self::MAX_TOKENS, tokens: 0.0 }
     }
 
     /// Notes a call.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.share).min(Self::MAX_TOKENS);
+        self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
     /// Takes a token if there is one.
@@ -62,16 +65,24 @@
     pub fn set_share(&mut self, share: f64) {
         self.share = share;
     }
+
+    /// Bounds the tokens that are saved up.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
 }
 
 impl Budgets {
     /// Budgets by their shares of calls.
     pub fn new(shares: Shares) -> Self {
-        Self {
+        let mut budgets = Self {
             probes: Budget::new(shares.probes),
             retries: Budget::new(shares.retries),
             hedges: Budget::new(shares.hedges),
-        }
+        };
+        budgets.set_shares(shares);
+        budgets
     }
 
     /// Changes the shares and keeps the tokens.
@@ -79,6 +90,9 @@
         self.probes.set_share(shares.probes);
         self.retries.set_share(shares.retries);
         self.hedges.set_share(shares.hedges);
+        for budget in [&mut self.probes, &mut self.retries, &mut self.hedges] {
+            budget.set_burst(shares.burst);
+        }
     }
 
     /// Notes a call in each budget.
@@ -91,6 +105,6 @@
 
 impl Default for Budgets {
     fn default() -> Self {
-        Self::new(Shares { probes: 0.01, retries: 0.10, hedges: 0.02 })
+        Self::new(Shares { probes: 0.01, retries: 0.10, hedges: 0.02, burst: Budget::MAX_TOKENS })
     }
 }
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -21,7 +21,12 @@
 fn pool(targets: u64) -> Pool {
     let mut pool = Pool::new(
         Policy::Bronzeport,
-        Budgets::new(Shares { probes: 0.01, retries: 0.1, hedges: 0.02 }),
+        Budgets::new(Shares {
+            probes: 0.01,
+            retries: 0.1,
+            hedges: 0.02,
+            burst: Budget::MAX_TOKENS,
+        }),
     );
     let target = |node| Target { node, rtt: Duration::from_millis(1), slots: 4 };
     pool.set_targets((1..=targets).map(target));
