Bytes between data centres count in the choice of a target

Change: the mean size of a kind's answers, weighed by a setting in seconds a megabyte, is part of a target's cost outside the own data centre.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -242,6 +242,7 @@
         let mut sent = Sent {
             router: self.router.clone(),
             service: call.service.clone(),
+            kind: call.treatment.kind.clone(),
             node: route.node,
             attempt: route.attempt,
             is_open: true,
@@ -355,6 +356,7 @@
 struct Sent {
     router: Mailbox<router::Ask>,
     service: Box<str>,
+    kind: Box<str>,
     node: Node,
     attempt: route::Attempt,
     is_open: bool,
@@ -363,16 +365,18 @@
 impl Sent {
     fn end(&mut self, answer: &Answer) {
         self.is_open = false;
-        self.tell(ending_of(answer), Some(answer.load));
+        self.tell(ending_of(answer), Some(answer.load), answer.body.len());
     }
 
-    fn tell(&self, ending: Ending, load: Option<route::Load>) {
+    fn tell(&self, ending: Ending, load: Option<route::Load>, bytes: usize) {
         self.router.send(router::Ask::End {
             service: self.service.clone(),
+            kind: self.kind.clone(),
             node: self.node,
             attempt: self.attempt,
             ending,
             load: load.filter(|load| load.slots > 0),
+            bytes,
         });
     }
 }
@@ -380,7 +384,7 @@
 impl Drop for Sent {
     fn drop(&mut self) {
         if self.is_open {
-            self.tell(Ending::Abandoned, None);
+            self.tell(Ending::Abandoned, None, 0);
         }
     }
 }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::journal::Belief;
+use crate::settings::Settings;
 use crate::{names, peers};
 
 /// Time limit of a probe.
@@ -49,7 +50,16 @@
         reply: Reply<Option<Route>>,
     },
     /// An attempt has ended.
-    End { service: Box<str>, node: Node, attempt: Attempt, ending: Ending, load: Option<Load> },
+    End {
+        service: Box<str>,
+        kind: Box<str>,
+        node: Node,
+        attempt: Attempt,
+        ending: Ending,
+        load: Option<Load>,
+        /// Bytes of the answer.
+        bytes: usize,
+    },
     /// Decide whether a call is sent again.
     Retry { service: Box<str>, situation: Situation, reply: Reply<Retry> },
     /// A probe has brought a report.
@@ -88,13 +98,16 @@
 }
 
 /// Starts the service.
-pub(crate) fn start(kernel: &Kernel, policy: Policy, seed: u64) {
+pub(crate) fn start(kernel: &Kernel, settings: &Settings, seed: u64) {
+    let policy = settings.policy;
     let inbox = kernel.register::<Ask>(names::ROUTER);
     let mailbox = kernel.service::<Ask>(names::ROUTER);
     let task = Task {
         kernel: kernel.clone(),
         mailbox: mailbox.clone(),
         policy,
+        data_centre: settings.data_centre.clone(),
+        transfer_cost: settings.transfer_cost,
         random: fastrand::Rng::with_seed(seed),
         members: HashMap::new(),
         pools: HashMap::new(),
@@ -118,6 +131,9 @@
     kernel: Kernel,
     mailbox: Mailbox<Ask>,
     policy: Policy,
+    data_centre: Box<str>,
+    /// What a megabyte between data centres counts for, in seconds.
+    transfer_cost: f64,
     random: fastrand::Rng,
     members: HashMap<Node, (Member, Duration)>,
     pools: HashMap<Box<str>, Pool>,
@@ -168,9 +184,12 @@
                 let route = node.map(|node| (node, false));
                 self.give(now, service, route, &call, reply);
             }
-            Ask::End { service, node, attempt, ending, load } => {
+            Ask::End { service, kind, node, attempt, ending, load, bytes } => {
                 let pool = self.pool(&service);
                 pool.end(now, node, attempt, ending);
+                if matches!(ending, Ending::Answered(_)) {
+                    pool.observe_bytes(&kind, bytes);
+                }
                 if let Some(load) = load {
                     pool.observe_load(now, node, load);
                 }
@@ -272,6 +291,7 @@
         if !self.pools.contains_key(service) {
             let mut pool = Pool::new(self.policy, self.budgets(service));
             pool.set_targets(self.targets(service));
+            pool.set_transfer_cost(self.transfer_cost);
             self.pools.insert(service.into(), pool);
         }
         self.pools.get_mut(service).expect("inserted above")
@@ -294,6 +314,7 @@
             node: member.node,
             rtt: *rtt,
             slots: member.slots,
+            is_near: member.data_centre == self.data_centre,
         });
         targets.collect()
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -41,6 +41,9 @@
     pub announce: Option<SocketAddr>,
     /// Address that tells whether the daemon takes calls, beside its own pages.
     pub ready: Option<SocketAddr>,
+    /// What a megabyte between data centres counts for in the choice of a target,
+    /// as time in seconds.
+    pub transfer_cost: f64,
     /// Time after the announcement of a stop in which callers still come.
     pub linger: Duration,
 }
@@ -107,7 +110,7 @@
     Setting { flag, unit, default, help }
 }
 
-const SETTINGS: [Setting; 19] = [
+const SETTINGS: [Setting; 20] = [
     setting("listen", "IP:PORT", "127.0.0.1:8000", "address for callers"),
     setting("peer-listen", "IP:PORT", "127.0.0.1:8100", "address for other daemons, TCP and UDP"),
     setting("admin", "IP:PORT", "127.0.0.1:8200", "address of the daemon's own pages"),
@@ -131,6 +134,12 @@
         "30",
         "longest wait for requests in flight at a stop, 0 to 3600",
     ),
+    setting(
+        "transfer-cost",
+        "s/MB",
+        "0",
+        "what a megabyte between data centres counts for in the choice, 0 to 1000",
+    ),
     setting("linger", "seconds", "1", "time in which callers still come at a stop, 0 to 60"),
     setting("interface", "name", "callers", "how callers and targets speak: callers, platform"),
     setting("announce", "IP:PORT", "", "address where the target announces itself"),
@@ -335,6 +344,7 @@
         let max_depth = raw.number("max-depth", 1, 255);
         let log = raw.require("log", scan_level);
         let linger = raw.seconds("linger", 60.0);
+        let transfer_cost = raw.seconds("transfer-cost", 1000.0);
         let interface = raw.require("interface", |text| Interface::try_from(text));
         let announce = raw.parse("announce", scan_address);
         let ready = raw.parse("ready", scan_address);
@@ -356,6 +366,7 @@
                 announce,
                 ready,
                 linger: linger?,
+                transfer_cost: transfer_cost?.as_secs_f64(),
             })
         })();
         match settings {
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -34,6 +34,8 @@
     pub rtt: Duration,
     /// Stated number of requests that it runs at a time.
     pub slots: u16,
+    /// Whether it is in the data centre of the entry.
+    pub is_near: bool,
 }
 
 /// A guard's report of its target.
@@ -65,6 +67,8 @@
     pub(crate) pace: f64,
     /// Usual time of the calls in question, where it is known.
     pub(crate) work: Option<Duration>,
+    /// What an answer from another data centre counts for, as time in seconds.
+    pub(crate) transfer: f64,
 }
 
 /// A call of this entry that has no answer yet.
@@ -314,7 +318,8 @@
             _ => service * crowding(occupancy / slots),
         };
         let failing = 1.0 + f64::from(self.failures) * self.failure_freshness(now);
-        (self.target.rtt.as_secs_f64() + service + wait + risk) * failing
+        let transfer = if self.target.is_near { 0.0 } else { prior.transfer };
+        (self.target.rtt.as_secs_f64() + service + wait + risk) * failing + transfer
     }
 
     /// How much the latest failure still counts, from 1 down to 0.
@@ -379,6 +384,7 @@
             service: median.unwrap_or(FIRST_SERVICE),
             pace: if paced > 0.0 { paces / paced } else { f64::from(USUAL_PACE) },
             work: None,
+            transfer: 0.0,
         }
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,7 +10,7 @@
 //!
 //! let now = Instant::now();
 //! let mut pool = Pool::new(Policy::Bronzeport, Budgets::default());
-//! pool.set_targets([Target { node: 1, rtt: Duration::from_micros(500), slots: 12 }]);
+//! pool.set_targets([Target { node: 1, rtt: Duration::from_micros(500), slots: 12, is_near: true }]);
 //! let mut random = fastrand::Rng::with_seed(1);
 //! let call = Call { may_wait: false, repeatable: true, kind: "read".into() };
 //! let choice = pool.choose(now, &mut random, &Past::default(), &call);
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -20,6 +20,7 @@
 /// Most targets whose cost is worked out for one choice.
 const MAX_COMPARED: usize = 16;
 
+const BYTES_PER_MEGABYTE: f64 = 1e6;
 /// Random part of a cost.
 const COST_JITTER: f64 = 0.02;
 
@@ -94,6 +95,7 @@
     attempts: Attempt,
     hedge_after: Duration,
     works: Works,
+    transfer_cost: f64,
     /// What this service may spend beyond one attempt for each call.
     pub budgets: Budgets,
 }
@@ -108,10 +110,22 @@
             attempts: 0,
             hedge_after: Duration::from_millis(50),
             works: Works::default(),
+            transfer_cost: 0.0,
             budgets,
         }
     }
 
+    /// Sets what a megabyte between data centres counts for in the choice, as time
+    /// in seconds.
+    pub fn set_transfer_cost(&mut self, transfer_cost: f64) {
+        self.transfer_cost = transfer_cost;
+    }
+
+    /// Takes in the size of an answer to a call of this kind.
+    pub fn observe_bytes(&mut self, kind: &str, bytes: usize) {
+        self.works.observe_bytes(kind, bytes);
+    }
+
     /// Replaces the list of targets; what is known of those that stay is kept.
     pub fn set_targets(&mut self, targets: impl IntoIterator<Item = Target>) {
         let mut earlier = std::mem::take(&mut self.estimates);
@@ -216,7 +230,8 @@
     }
 
     fn prior(&self, kind: &str) -> Prior {
-        Prior { work: self.works.usual(kind), ..Prior::of(self.estimates.iter()) }
+        let transfer = self.works.bytes(kind) / BYTES_PER_MEGABYTE * self.transfer_cost;
+        Prior { work: self.works.usual(kind), transfer, ..Prior::of(self.estimates.iter()) }
     }
 
     /// Takes in a guard's report, from an answer or a probe.
--- a/crates/route/src/work.rs
+++ b/crates/route/src/work.rs
@@ -1,4 +1,4 @@
-//! The usual time that requests of each kind take.
+//! The usual time and size of requests of each kind.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,10 +11,21 @@
 /// Most kinds that are told apart.
 const MAX_KINDS: usize = 1024;
 
-/// The usual time that requests of each kind take on a target at its usual pace.
+/// Weight of a new answer in the mean size.
+const SIZE_WEIGHT: f64 = 0.05;
+
+/// What is usual for requests of each kind.
 #[derive(Debug, Default)]
 pub struct Works {
-    kinds: HashMap<Box<str>, Duration>,
+    kinds: HashMap<Box<str>, Usual>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Usual {
+    /// Time on a target at its usual pace.
+    time: Duration,
+    /// Bytes of the answer.
+    bytes: f64,
 }
 
 impl Works {
@@ -24,18 +35,33 @@
         let usual = service.mul_f64(1.0 / pace_factor(pace));
         let has_room = self.kinds.len() < MAX_KINDS;
         match self.kinds.get_mut(kind) {
-            Some(known) if usual > *known => *known = known.mul_f64(STEP),
-            Some(known) => *known = known.mul_f64(1.0 / STEP),
+            Some(known) if usual > known.time => known.time = known.time.mul_f64(STEP),
+            Some(known) => known.time = known.time.mul_f64(1.0 / STEP),
             None if has_room => {
-                self.kinds.insert(kind.into(), usual);
+                self.kinds.insert(kind.into(), Usual { time: usual, bytes: 0.0 });
             }
             None => {}
         }
     }
 
+    /// Takes in the size of an answer.
+    pub fn observe_bytes(&mut self, kind: &str, bytes: usize) {
+        if let Some(known) = self.kinds.get_mut(kind) {
+            known.bytes = match known.bytes {
+                0.0 => bytes as f64,
+                mean => mean + (bytes as f64 - mean) * SIZE_WEIGHT,
+            };
+        }
+    }
+
     /// The usual time of a kind, if one has been seen.
     pub fn usual(&self, kind: &str) -> Option<Duration> {
-        self.kinds.get(kind).copied()
+        self.kinds.get(kind).map(|usual| usual.time)
+    }
+
+    /// The mean size of a kind's answers in bytes; 0 if none has been seen.
+    pub fn bytes(&self, kind: &str) -> f64 {
+        self.kinds.get(kind).map_or(0.0, |usual| usual.bytes)
     }
 }
 
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -28,7 +28,7 @@
             burst: Budget::MAX_TOKENS,
         }),
     );
-    let target = |node| Target { node, rtt: Duration::from_millis(1), slots: 4 };
+    let target = |node| Target { node, rtt: Duration::from_millis(1), slots: 4, is_near: true };
     pool.set_targets((1..=targets).map(target));
     pool
 }
@@ -149,8 +149,8 @@
 fn a_nearer_data_centre_wins_until_its_wait_outweighs_the_way() {
     let now = Instant::now();
     let mut pool = Pool::new(Policy::Bronzeport, Budgets::default());
-    let near = Target { node: 1, rtt: Duration::ZERO, slots: 4 };
-    let far = Target { node: 2, rtt: Duration::from_millis(3), slots: 4 };
+    let near = Target { node: 1, rtt: Duration::ZERO, slots: 4, is_near: true };
+    let far = Target { node: 2, rtt: Duration::from_millis(3), slots: 4, is_near: true };
     pool.set_targets([near, far]);
     let mut random = fastrand::Rng::with_seed(1);
     pool.observe_load(now, 1, load(1, 0));
@@ -271,7 +271,7 @@
         let tried: Vec<u64> = tried.into_iter().map(|node| u64::from(node % 8)).collect();
         Policy::ALL.iter().all(|(_, policy)| {
             let mut pool = Pool::new(*policy, Budgets::default());
-            let target = |node| Target { node, rtt: Duration::ZERO, slots: 2 };
+            let target = |node| Target { node, rtt: Duration::ZERO, slots: 2, is_near: true };
             pool.set_targets((1..8).map(target));
             match pool.choose(now, &mut random, &reached(&tried), &urgent()) {
                 Choice::Send { node, .. } => !tried.contains(&node),
--- a/crates/route/tests/slow.rs
+++ b/crates/route/tests/slow.rs
@@ -15,7 +15,7 @@
 fn pool(now: Instant, targets: u64) -> Pool {
     let mut pool = Pool::new(Policy::Bronzeport, Budgets::default());
     let rtt = Duration::from_millis(1);
-    pool.set_targets((1..=targets).map(|node| Target { node, rtt, slots: 12 }));
+    pool.set_targets((1..=targets).map(|node| Target { node, rtt, slots: 12, is_near: true }));
     for node in 1..=targets {
         tell(&mut pool, now, node, 0, 100);
         let attempt = pool.begin(now, node, &call());
