After a start: all slots once a pace is told, a little wait for a first target, work from the aim

Change: a told pace opens all slots; a call for which no target is known at all waits for one for a third of its time, 250 ms at most; until a kind has been seen its work is taken as a third of its aim.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -221,6 +221,11 @@
         self.is_leaving = false;
     }
 
+    /// Gives all stated slots at once.
+    pub fn open(&mut self) {
+        self.limit.open();
+    }
+
     /// Whether the target is leaving.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -20,6 +20,13 @@
 /// Least time in which another attempt can be answered.
 const ATTEMPT_NEEDS: Duration = Duration::from_millis(3);
 
+/// Longest wait for a first target to be known, and its part of the time left.
+const TARGET_WAIT_MAX: Duration = Duration::from_millis(250);
+const TARGET_WAIT_PART: u32 = 3;
+/// Time between two looks for one: above the time in which a list of members
+/// reaches the router.
+const TARGET_LOOK_EVERY: Duration = Duration::from_millis(20);
+
 /// A late answer deep in a chain makes all calls above it late. So only the
 /// first layers hedge, and only the first by the retry budget: the calls of a
 /// chain grow by the product of the shares of those layers.
@@ -78,7 +85,7 @@
         let mut last = None;
         loop {
             let is_first = last.is_none();
-            let Some(route) = self.choose(call, &progress.past, is_first).await else {
+            let Some(route) = self.find(call, deadline, &progress.past, is_first).await else {
                 let none = || Answer::refusal(Outcome::NotRun, Reason::NoTarget, self.node);
                 return progress.conclude(last.unwrap_or_else(none));
             };
@@ -116,13 +123,32 @@
         }
     }
 
+    /// Chooses a target. Where none is known at all, as in the first moments of a
+    /// daemon or of a service, it waits a little for one.
+    async fn find(
+        &self,
+        call: &Call,
+        deadline: Instant,
+        past: &Past,
+        is_first: bool,
+    ) -> Option<Route> {
+        let remaining = deadline.saturating_duration_since(self.clock.now());
+        let until = self.clock.now() + (remaining / TARGET_WAIT_PART).min(TARGET_WAIT_MAX);
+        let mut is_first = is_first;
+        loop {
+            let route = self.choose(call, past, is_first).await;
+            let is_new = *past == Past::default();
+            if route.is_some() || !is_new || self.clock.now() >= until {
+                return route;
+            }
+            is_first = false;
+            self.clock.sleep(TARGET_LOOK_EVERY).await;
+        }
+    }
+
     async fn choose(&self, call: &Call, past: &Past, is_first: bool) -> Option<Route> {
         let (service, past) = (call.service.clone(), past.clone());
-        let call = route::Call {
-            may_wait: call.treatment.may_wait,
-            repeatable: call.is_repeatable(),
-            kind: call.treatment.kind.clone(),
-        };
+        let call = choice_of(call);
         let ask = |reply| router::Ask::Choose { service, past, is_first, call, reply };
         self.router.ask(ask).await.flatten()
     }
@@ -216,8 +242,8 @@
     ) -> Option<Route> {
         let service = call.service.clone();
         let tried = [&progress.past.reached[..], &progress.past.refused, &[first]].concat();
-        let kind = call.treatment.kind.clone();
-        let ask = |reply| router::Ask::Hedge { service, kind, tried, is_very_late, reply };
+        let choice = choice_of(call);
+        let ask = |reply| router::Ask::Hedge { service, call: choice, tried, is_very_late, reply };
         let route = self.router.ask(ask).await.flatten()?;
         let counter = match is_very_late {
             true => "bronzeport_retries_total",
@@ -402,6 +428,16 @@
     }
 }
 
+/// What the choice of a target depends on.
+fn choice_of(call: &Call) -> route::Call {
+    route::Call {
+        may_wait: call.treatment.may_wait,
+        repeatable: call.is_repeatable(),
+        kind: call.treatment.kind.clone(),
+        aim: call.treatment.aim,
+    }
+}
+
 fn request_of(call: &Call, remaining: Duration, caller: Box<str>) -> Request {
     let treatment = &call.treatment;
     let spent = call.deadline.saturating_sub(remaining);
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -8,7 +8,7 @@
 use admit::{Class, End, Gate, Holds, Next, Refusal, Ticket, Verdict, WARM_STEP};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use once::{Ledger, Lookup};
-use route::{Load, Node, USUAL_PACE, Works, pace_factor};
+use route::{Load, Node, USUAL_PACE, Works, guess_work, pace_factor};
 use wire::{Answer, Outcome, Reason, Request};
 
 use super::job::{Job, Stage};
@@ -256,7 +256,8 @@
     /// known.
     fn expected(&self, request: &Request) -> Option<Duration> {
         let pace = self.report.filter(|report| report.pace > 0)?.pace;
-        Some(self.works.usual(&request.kind)?.mul_f64(pace_factor(pace)))
+        let usual = self.works.usual(&request.kind).unwrap_or(guess_work(request.aim));
+        Some(usual.mul_f64(pace_factor(pace)))
     }
 
     fn arrive_at_gate(&mut self, now: Instant, arrival: admit::Request, job: Job) {
@@ -390,7 +391,12 @@
 
     fn observe_report(&mut self, now: Instant, answer: &TargetAnswer) {
         if let Some(report) = answer.report {
-            self.report = Some(Heard { pace: report.pace.unwrap_or(0), at: now });
+            let pace = report.pace.unwrap_or(0);
+            if pace > 0 && self.report.is_none() {
+                // A target that tells its pace tells with it how cold it is.
+                self.gate.open();
+            }
+            self.report = Some(Heard { pace, at: now });
         }
     }
 
@@ -538,6 +544,7 @@
         );
         let identity = Identity { instance: current.instance, address: current.address };
         self.target = Some(Target::new(&self.kernel, self.edge, identity, current.slots));
+        self.report = None;
         self.gate.reopen(current.slots, !current.cold_for.is_zero());
         let has_changed = **self.service.borrow() != *current.service;
         if has_changed {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -42,8 +42,8 @@
     /// Choose a target for a hedge beside `tried`.
     Hedge {
         service: Box<str>,
-        /// Name of the call's rule or path.
-        kind: Box<str>,
+        /// What the choice depends on.
+        call: Call,
         tried: Vec<Node>,
         /// Whether the retry budget may pay for it.
         is_very_late: bool,
@@ -178,8 +178,7 @@
                 let route = self.choose(now, &service, &past, is_first, &call);
                 self.give(now, service, route, &call, reply);
             }
-            Ask::Hedge { service, kind, tried, is_very_late, reply } => {
-                let call = Call { may_wait: false, repeatable: true, kind };
+            Ask::Hedge { service, call, tried, is_very_late, reply } => {
                 let node = self.pool(&service).decide_hedge(now, &tried, &call, is_very_late);
                 let route = node.map(|node| (node, false));
                 self.give(now, service, route, &call, reply);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,7 +12,7 @@
 //! let mut pool = Pool::new(Policy::Bronzeport, Budgets::default());
 //! pool.set_targets([Target { node: 1, rtt: Duration::from_micros(500), slots: 12, is_near: true }]);
 //! let mut random = fastrand::Rng::with_seed(1);
-//! let call = Call { may_wait: false, repeatable: true, kind: "read".into() };
+//! let call = Call { may_wait: false, repeatable: true, kind: "read".into(), aim: Duration::from_secs(1) };
 //! let choice = pool.choose(now, &mut random, &Past::default(), &call);
 //! assert_eq!(choice, Choice::Send { node: 1, may_queue: true });
 //! ```
@@ -29,7 +29,7 @@
 pub use policy::Policy;
 pub use pool::{Call, Choice, Ending, Expected, Past, Pool};
 pub use retry::{Failure, Retry, Situation, decide_retry};
-pub use work::{USUAL_PACE, Works, pace_factor};
+pub use work::{USUAL_PACE, Works, guess_work, pace_factor};
 
 /// Number of a node: one daemon and the target beside it.
 pub type Node = u64;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -6,7 +6,7 @@
 use crate::estimate::{Estimate, Load, Prior, Target};
 use crate::policy::Policy;
 use crate::retry::MAX_REDIRECTS;
-use crate::work::Works;
+use crate::work::{Works, guess_work};
 use crate::{Attempt, Node};
 
 /// Knowledge older than this is worth a probe.
@@ -33,6 +33,8 @@
     pub repeatable: bool,
     /// Name of its rule or path: calls of one kind take about the same work.
     pub kind: Box<str>,
+    /// Time within which its answer is of full use, counted from its arrival.
+    pub aim: Duration,
 }
 
 /// Where a call has been.
@@ -187,7 +189,7 @@
 
     /// What is expected of a call to `node`.
     pub fn expect(&self, now: Instant, node: Node, call: &Call) -> Expected {
-        let prior = self.prior(&call.kind);
+        let prior = self.prior_of(call);
         let known = self.estimates.iter().find(|estimate| estimate.target.node == node);
         known.map_or_else(Expected::default, |estimate| Expected {
             pace: estimate.known_pace(),
@@ -201,7 +203,7 @@
     pub fn begin(&mut self, now: Instant, node: Node, call: &Call) -> Attempt {
         self.attempts += 1;
         let attempt = self.attempts;
-        let prior = self.prior(&call.kind);
+        let prior = self.prior_of(call);
         if let Some(estimate) = self.find(node) {
             estimate.begin(now, attempt, prior, call);
         }
@@ -229,6 +231,11 @@
         }
     }
 
+    fn prior_of(&self, call: &Call) -> Prior {
+        let prior = self.prior(&call.kind);
+        Prior { work: prior.work.or(Some(guess_work(call.aim))), ..prior }
+    }
+
     fn prior(&self, kind: &str) -> Prior {
         let transfer = self.works.bytes(kind) / BYTES_PER_MEGABYTE * self.transfer_cost;
         Prior { work: self.works.usual(kind), transfer, ..Prior::of(self.estimates.iter()) }
@@ -273,7 +280,7 @@
         is_very_late: bool,
     ) -> Option<Node> {
         let candidates = self.candidates(now, tried);
-        let prior = self.prior(&call.kind);
+        let prior = self.prior_of(call);
         let free = candidates.into_iter().map(|index| &self.estimates[index]);
         let free = free.filter(|estimate| estimate.has_free_slot(now, prior));
         let best =
@@ -312,7 +319,7 @@
         call: &Call,
         random: &mut fastrand::Rng,
     ) -> Choice {
-        let prior = self.prior(&call.kind);
+        let prior = self.prior_of(call);
         let has_alternative = candidates.len() > 1 && past.refused.len() < MAX_REDIRECTS;
         let compared = pick_some(candidates, MAX_COMPARED, random);
         let costs = compared.into_iter().map(|index| {
--- a/crates/route/src/work.rs
+++ b/crates/route/src/work.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// Part of its aim that a request is taken to need before one of its kind has
+/// been seen: operators state aims of about three times the usual time.
+const AIM_PART: u32 = 3;
+
+/// The usual time of a kind of which only the aim is known.
+pub fn guess_work(aim: Duration) -> Duration {
+    aim / AIM_PART
+}
+
 /// How many times as long as usual work takes at this pace.
 pub fn pace_factor(pace: u16) -> f64 {
     match pace {
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -15,7 +15,7 @@
 }
 
 fn urgent() -> Call {
-    Call { may_wait: false, repeatable: true, kind: "read".into() }
+    Call { may_wait: false, repeatable: true, kind: "read".into(), aim: Duration::from_millis(80) }
 }
 
 fn pool(targets: u64) -> Pool {
--- a/crates/route/tests/slow.rs
+++ b/crates/route/tests/slow.rs
@@ -8,7 +8,12 @@
 const WORK: Duration = Duration::from_millis(15);
 
 fn call() -> Call {
-    Call { may_wait: false, repeatable: true, kind: "lookup".into() }
+    Call {
+        may_wait: false,
+        repeatable: true,
+        kind: "lookup".into(),
+        aim: Duration::from_millis(80),
+    }
 }
 
 /// A pool of targets with 12 slots whose usual time for a lookup is known.
