Few daemons follow the store's feed; the others hear of changes from them

Change: a sixth of the fleet, 6 to 64, the earliest started, follows; any daemon that has heard no other for 2 s follows by itself. A feed waits 20 s.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -34,9 +34,17 @@
 /// Rows in one page of a list.
 const PAGE_ROWS: usize = 500;
 
-/// Time for which a feed of the table of paths waits for a change: short enough
-/// to notice soon that a connection has gone silent.
-const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Time for which a feed of the table of paths waits for a change.
+const FEED_WAIT: Duration = Duration::from_secs(20);
+/// Daemons that follow the feed: this part of the fleet, within these bounds. Each
+/// call to the store is paid for; the others hear of changes from these.
+const FOLLOWING_PART: usize = 6;
+const FOLLOWING_MIN: usize = 6;
+const FOLLOWING_MAX: usize = 64;
+/// Time without a word from another daemon after which one follows by itself.
+const QUIET_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two looks whether to follow.
+const FOLLOW_LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Rows of the table that holds the table of paths, at most.
 const MAX_FEED_ROWS: usize = 100;
 /// Pause after a read that failed.
@@ -281,6 +289,10 @@
     let table = row.split('/').next().unwrap_or(row);
     let mut known = None;
     loop {
+        if known.is_some() && !follows(&kernel).await {
+            kernel.clock().sleep(FOLLOW_LOOK_EVERY).await;
+            continue;
+        }
         match read_feed(&kernel, table, known).await {
             Ok(rows) => {
                 known = Some(rows.version);
@@ -302,6 +314,17 @@
     }
 }
 
+/// Whether this daemon is among those that follow the feed: the earliest started
+/// ones, or any that hears of no other.
+async fn follows(kernel: &Kernel) -> bool {
+    let membership: Mailbox<membership::Ask> = kernel.service(names::MEMBERSHIP);
+    let place = membership.ask(|reply| membership::Ask::Place { reply }).await;
+    place.is_none_or(|place| {
+        let following = (place.present / FOLLOWING_PART).clamp(FOLLOWING_MIN, FOLLOWING_MAX);
+        place.earlier < following || place.quiet_for > QUIET_LIMIT
+    })
+}
+
 /// The whole table, or its changes after a version that is known.
 async fn read_feed(kernel: &Kernel, table: &str, known: Option<Version>) -> Result<Rows, Failure> {
     let rows: Mailbox<storage::Ask> = kernel.service(names::STORE);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -53,6 +53,8 @@
     Count { reply: Reply<usize> },
     /// Give all members.
     All { reply: Reply<Vec<Member>> },
+    /// Tell where this node stands among the members.
+    Place { reply: Reply<Place> },
     /// Give this node as it describes itself.
     Own { reply: Reply<Member> },
     /// Give the digest of each bucket.
@@ -75,6 +77,17 @@
     Left,
 }
 
+/// Where a node stands among the members.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place {
+    /// Present members that started earlier.
+    pub(crate) earlier: usize,
+    /// Present members, this node included.
+    pub(crate) present: usize,
+    /// Time since another member was last heard.
+    pub(crate) quiet_for: Duration,
+}
+
 enum Event {
     Asked(Ask),
     Received(usize, SocketAddr),
@@ -102,6 +115,7 @@
         revision: 0,
         holds: Vec::new(),
         load: None,
+        heard_at: None,
         gone: HashSet::new(),
     };
     kernel.start(task.run(inbox));
@@ -119,6 +133,7 @@
     revision: u64,
     holds: Vec<(Hold, u32)>,
     load: Option<Load>,
+    heard_at: Option<Instant>,
     gone: HashSet<Node>,
 }
 
@@ -165,6 +180,11 @@
         match ask {
             Ask::Count { reply } => drop(reply.send(self.members.count_present())),
             Ask::All { reply } => drop(reply.send(self.members.all().cloned().collect())),
+            Ask::Place { reply } => drop(reply.send(Place {
+                earlier: self.members.count_earlier(),
+                present: self.members.count_present(),
+                quiet_for: self.heard_at.map_or(Duration::MAX, |at| now - at),
+            })),
             Ask::Own { reply } => drop(reply.send(self.members.own().clone())),
             Ask::Digests { reply } => drop(reply.send(self.members.digests().to_vec())),
             Ask::Differing { digests, reply } => {
@@ -222,6 +242,7 @@
         let Some(sender) = gossip.sender else {
             return;
         };
+        self.heard_at = Some(self.kernel.clock().now());
         self.hear_holds(gossip.holds);
         if let Some(load) = gossip.load {
             let router: Mailbox<router::Ask> = self.kernel.service(names::ROUTER);
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -59,6 +59,12 @@
         present.count() + 1
     }
 
+    /// Number of present members that started before this node.
+    pub fn count_earlier(&self) -> usize {
+        let present = self.peers.values().filter(|peer| peer.member.state.is_present());
+        present.filter(|peer| peer.member.node < self.own.node).count()
+    }
+
     /// All known members, this node included.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         std::iter::once(&self.own).chain(self.peers.values().map(|peer| &peer.member))
