--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -28,11 +28,13 @@
 mod knee;
 mod limit;
 mod queue;
+mod standing;
 
 pub use gate::{Discipline, End, Gate, Next, Refusal, Request, Verdict};
 pub use hold::{Crash, Fingerprint, Hold, Holds};
 pub use limit::WARM_STEP;
 pub use queue::Class;
+pub use standing::{Announcement, Change, Notice, Standing};
 
 /// Number of a request at one guard.
 pub type Ticket = u64;
--- a/crates/daemon/src/guard/standing.rs
+++ b/crates/admit/src/standing.rs
@@ -1,16 +1,51 @@
 //! Which start of the target is served, by what targets say of themselves.
 
 use std::collections::VecDeque;
-
-use crate::edge::{Announcement, Notice};
+use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Starts that have left which are remembered, so that late news of them is
 /// known to be late.
 const MAX_GONE: usize = 32;
 
+/// What a target says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Notice {
+    /// It is there.
+    Here(Announcement),
+    /// It leaves now.
+    Gone {
+        /// Id of the start that leaves.
+        instance: Box<str>,
+        /// When that start was, as in [`Announcement::started`]; 0 if not told.
+        started: u64,
+    },
+}
+
+/// A target that is there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Id of the target's start; a later start may have the same.
+    pub instance: Box<str>,
+    /// Service that it answers for.
+    pub service: Box<str>,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Requests that it runs at a time.
+    pub slots: u16,
+    /// It takes no new work.
+    pub is_leaving: bool,
+    /// Unix time of its start in milliseconds; 0 if not told.
+    pub started: u64,
+    /// Grows with each announcement of one start.
+    pub sequence: u64,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+}
+
 /// What a notice changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Change {
+pub enum Change {
     /// A start that was not known is served now.
     Started,
     /// The start that is served is confirmed.
@@ -23,24 +58,24 @@
 
 /// The start of the target that is served.
 #[derive(Debug, Default)]
-pub(crate) struct Standing {
+pub struct Standing {
     current: Option<Announcement>,
     gone: VecDeque<(Box<str>, u64)>,
 }
 
 impl Standing {
     /// The start that is served, or that is leaving.
-    pub(crate) fn current(&self) -> Option<&Announcement> {
+    pub fn current(&self) -> Option<&Announcement> {
         self.current.as_ref()
     }
 
     /// Whether a start is known and takes new work.
-    pub(crate) fn takes_work(&self) -> bool {
+    pub fn takes_work(&self) -> bool {
         self.current.as_ref().is_some_and(|current| !current.is_leaving)
     }
 
     /// Takes in what a target says of itself.
-    pub(crate) fn hear(&mut self, notice: Notice) -> Change {
+    pub fn hear(&mut self, notice: Notice) -> Change {
         match notice {
             Notice::Here(announcement) => self.hear_announcement(announcement),
             Notice::Gone { instance, started } => self.hear_gone(instance, started),
@@ -48,7 +83,7 @@
     }
 
     /// Takes in what a target's health page shows while nothing has been heard.
-    pub(crate) fn guess(&mut self, announcement: Announcement) -> Change {
+    pub fn guess(&mut self, announcement: Announcement) -> Change {
         match self.current {
             Some(_) => Change::Stale,
             None => self.hear_announcement(announcement),
@@ -56,7 +91,8 @@
     }
 
     /// The address is another target's: nothing is known until the next notice.
-    pub(crate) fn forget(&mut self, instance: &str) -> bool {
+    /// `true` when `instance` was served.
+    pub fn forget(&mut self, instance: &str) -> bool {
         let is_current =
             self.current.as_ref().is_some_and(|current| *current.instance == *instance);
         if let Some(current) = self.current.take_if(|_| is_current) {
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request as HttpRequest, Response};
 use store::Dialect;
 
+pub use admit::{Announcement, Notice};
 pub use wire::{Answer, Header, Outcome, Reason, Request};
 
 use crate::callers;
@@ -167,41 +168,6 @@
     pub pace: Option<u16>,
 }
 
-/// What a target says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Notice {
-    /// It is there.
-    Here(Announcement),
-    /// It leaves now.
-    Gone {
-        /// Id of the start that leaves.
-        instance: Box<str>,
-        /// When that start was, as in [`Announcement::started`]; 0 if not told.
-        started: u64,
-    },
-}
-
-/// A target that is there.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Announcement {
-    /// Id of the target's start; a later start may have the same.
-    pub instance: Box<str>,
-    /// Service that it answers for.
-    pub service: Box<str>,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Requests that it runs at a time.
-    pub slots: u16,
-    /// It takes no new work.
-    pub is_leaving: bool,
-    /// Unix time of its start in milliseconds; 0 if not told.
-    pub started: u64,
-    /// Grows with each announcement of one start.
-    pub sequence: u64,
-    /// How much longer it is slow after its start.
-    pub cold_for: Duration,
-}
-
 impl Edge {
     /// The project's own interface, described in `docs/CALLERS.md`.
     pub fn of_callers(store: Dialect) -> Self {
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -6,7 +6,6 @@
 
 mod copies;
 mod job;
-mod standing;
 mod task;
 
 use std::cell::{Cell, RefCell};
@@ -14,7 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use admit::{Discipline, Gate, Hold, Holds, Ticket};
+use admit::{Discipline, Gate, Hold, Holds, Standing, Ticket};
 use kernel::{Kernel, Mailbox, Reply};
 use once::Ledger;
 use route::{Load, Node, Works};
@@ -24,7 +23,6 @@
 use crate::edge::{Edge, Identity, Notice};
 use crate::target::{Look, Run, Target};
 use crate::{names, settings};
-use standing::Standing;
 use task::Task;
 
 /// Bytes of answers kept for copies of requests that may not be repeated.
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -5,14 +5,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use admit::{Class, End, Gate, Holds, Next, Refusal, Ticket, Verdict, WARM_STEP};
+use admit::{Change, Class, End, Gate, Holds, Next, Refusal, Standing, Ticket, Verdict, WARM_STEP};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use once::{Ledger, Lookup};
 use route::{Load, Node, USUAL_PACE, Works, guess_work, pace_factor};
 use wire::{Answer, Outcome, Reason, Request};
 
 use super::job::{Job, Stage};
-use super::standing::{Change, Standing};
 use super::{Ask, Due, Heard, REPORT_AGE, Status, WATCH_EVERY};
 use crate::claims::Claims;
 use crate::edge::{Announcement, Edge, Fate, Identity, Notice, TargetAnswer};
