A refused id never runs; what waits is judged by the present pace

And a test found that the time a waiting request needs was fixed when it came, before any answer was seen. Change: an id that was refused stays refused; what a daemon does not know is told as unknown; need is worked out when the gate looks, with the target's pace then.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -6,12 +6,10 @@
 use crate::Ticket;
 use crate::knee::Knee;
 use crate::limit::Limit;
-use crate::queue::{Class, Queue, Waiting};
+use crate::queue::{Class, Present, Queue, Waiting};
 
 /// Most requests that wait, for each stated slot.
 const MAX_QUEUED_PER_SLOT: usize = 64;
-/// Time that a request is given, in service times.
-const NEEDED_FACTOR: f64 = 1.25;
 /// A patient request is due when this many service times are left.
 const DUE_FACTOR: u32 = 8;
 /// Shortest time to come back after.
@@ -39,7 +37,7 @@
     pub aim: Instant,
     /// Urgency; 0 goes before all others.
     pub rank: u8,
-    /// Time that such requests take now, if it is known.
+    /// Time that such requests take at the usual pace, if it is known.
     pub work: Option<Duration>,
     /// Whether it may wait at all; if not, another target is tried.
     pub may_queue: bool,
@@ -104,6 +102,8 @@
     discipline: Discipline,
     running: BTreeSet<Ticket>,
     queue: Queue,
+    /// How many times as long as usual work takes now.
+    pace: f64,
     is_leaving: bool,
 }
 
@@ -122,6 +122,7 @@
             discipline,
             running: BTreeSet::new(),
             queue: Queue::default(),
+            pace: 1.0,
             is_leaving: false,
         }
     }
@@ -143,7 +144,7 @@
                 rank: 0,
                 aim: now,
                 deadline: now,
-                needed: Duration::ZERO,
+                work: None,
             };
             self.queue.push(waiting);
             return Verdict::Wait;
@@ -183,20 +184,25 @@
             return Next::Idle;
         }
         if self.discipline == Discipline::Deadline
-            && let Some(overdue) = self.queue.pop_overdue(now)
+            && let Some(overdue) = self.queue.pop_overdue(&self.present(now))
         {
             return Next::Expire(overdue.ticket);
         }
-        let Some(next) = self.queue.pop(now, self.margin()) else {
+        let Some(next) = self.queue.pop(&self.present(now)) else {
             return Next::Idle;
         };
         self.running.insert(next.ticket);
         Next::Start(next.ticket)
     }
 
-    /// Time before its deadline at which a patient request is due.
-    fn margin(&self) -> Duration {
-        self.limit.service() * DUE_FACTOR
+    /// Takes in how many times as long as usual work takes now.
+    pub fn observe_pace(&mut self, pace: f64) {
+        self.pace = pace;
+    }
+
+    fn present(&self, now: Instant) -> Present {
+        let service = self.limit.service();
+        Present { now, margin: service * DUE_FACTOR, service, pace: self.pace }
     }
 
     /// Refuses new requests from now on. Those that wait still run.
@@ -272,28 +278,23 @@
             rank: request.rank,
             aim: request.aim,
             deadline: request.deadline,
-            needed: self.needed(request.work),
+            work: request.work,
         };
-        let ahead = self.queue.ahead_of(&waiting, now, self.margin());
+        let present = self.present(now);
+        let ahead = self.queue.ahead_of(&waiting, &present);
         let start = now + self.wait_behind(ahead);
         let retry_after = self.wait_behind(self.queue.len()).max(MIN_RETRY_AFTER);
         let is_full = self.queue.len() >= MAX_QUEUED_PER_SLOT * usize::from(self.stated);
         if !request.may_queue || is_full {
             return Verdict::Refuse(Refusal::Busy { retry_after });
         }
-        if start + waiting.needed > request.deadline {
+        if start + present.needed(waiting.work) > request.deadline {
             return Verdict::Refuse(Refusal::Late { retry_after });
         }
         self.queue.push(waiting);
         Verdict::Wait
     }
 
-    /// Time that a request needs once it has started. A start that is not
-    /// finished in time takes a slot for nothing.
-    fn needed(&self, work: Option<Duration>) -> Duration {
-        work.unwrap_or(self.limit.service()).mul_f64(NEEDED_FACTOR)
-    }
-
     /// Time until a request with `ahead` others before it starts.
     fn wait_behind(&self, ahead: usize) -> Duration {
         let turns = (ahead as f64 + 1.0) / f64::from(self.slots());
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -23,8 +23,8 @@
     /// When its answer ceases to be of full use.
     pub(crate) aim: Instant,
     pub(crate) deadline: Instant,
-    /// Time that it needs once it has started.
-    pub(crate) needed: Duration,
+    /// Time that such requests take at the usual pace, if it is known.
+    pub(crate) work: Option<Duration>,
 }
 
 /// What decides the order, the least first.
@@ -40,6 +40,30 @@
 
 type Key = (Stage, u8, Instant, Ticket);
 
+/// What the order depends on beside the requests.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Present {
+    pub(crate) now: Instant,
+    /// Time before its deadline at which a patient request is due.
+    pub(crate) margin: Duration,
+    /// Time of a request of unknown work.
+    pub(crate) service: Duration,
+    /// How many times as long as usual work takes.
+    pub(crate) pace: f64,
+}
+
+/// Time that a request is given, in times of what it is expected to take.
+const NEEDED_FACTOR: f64 = 1.25;
+
+impl Present {
+    /// Time that a request needs once it has started. A start that is not
+    /// finished in time takes a slot for nothing.
+    pub(crate) fn needed(&self, work: Option<Duration>) -> Duration {
+        let expected = work.map_or(self.service, |work| work.mul_f64(self.pace));
+        expected.mul_f64(NEEDED_FACTOR)
+    }
+}
+
 /// Waiting requests.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -59,23 +83,24 @@
     /// Takes the request to run next. In a queue that is too long for all, those
     /// whose answers can still be of full use go before those that are late
     /// already: else each would be late in turn. A patient one counts as urgent
-    /// when it must start within `margin` to be in time.
-    pub(crate) fn pop(&mut self, now: Instant, margin: Duration) -> Option<Waiting> {
+    /// when it must start within the margin to be in time.
+    pub(crate) fn pop(&mut self, present: &Present) -> Option<Waiting> {
         let keyed = self.waiting.iter().enumerate();
-        let first = keyed.min_by_key(|(_, waiting)| key_of(waiting, now, margin))?.0;
+        let first = keyed.min_by_key(|(_, waiting)| key_of(waiting, present))?.0;
         Some(self.waiting.swap_remove(first))
     }
 
     /// Takes a request that cannot be answered before its deadline any more.
-    pub(crate) fn pop_overdue(&mut self, now: Instant) -> Option<Waiting> {
-        let place = self.waiting.iter().position(|w| w.deadline < now + w.needed)?;
+    pub(crate) fn pop_overdue(&mut self, present: &Present) -> Option<Waiting> {
+        let is_overdue = |w: &Waiting| w.deadline < present.now + present.needed(w.work);
+        let place = self.waiting.iter().position(is_overdue)?;
         Some(self.waiting.swap_remove(place))
     }
 
     /// Requests that would run before a new one.
-    pub(crate) fn ahead_of(&self, new: &Waiting, now: Instant, margin: Duration) -> usize {
-        let own = key_of(new, now, margin);
-        self.waiting.iter().filter(|waiting| key_of(waiting, now, margin) < own).count()
+    pub(crate) fn ahead_of(&self, new: &Waiting, present: &Present) -> usize {
+        let own = key_of(new, present);
+        self.waiting.iter().filter(|waiting| key_of(waiting, present) < own).count()
     }
 
     pub(crate) fn patient(&self) -> usize {
@@ -87,13 +112,14 @@
     }
 }
 
-fn key_of(waiting: &Waiting, now: Instant, margin: Duration) -> Key {
-    let is_due = waiting.deadline <= now + margin;
+fn key_of(waiting: &Waiting, present: &Present) -> Key {
+    let is_due = waiting.deadline <= present.now + present.margin;
+    let ends = present.now + present.needed(waiting.work);
     let (stage, by) = match waiting.class {
         Class::Patient if !is_due => (Stage::Patient, waiting.deadline),
         // A patient one that is due must start now.
         Class::Patient => (Stage::InTime, waiting.deadline),
-        Class::Urgent if now + waiting.needed <= waiting.aim => (Stage::InTime, waiting.aim),
+        Class::Urgent if ends <= waiting.aim => (Stage::InTime, waiting.aim),
         Class::Urgent => (Stage::Late, waiting.deadline),
     };
     let rank = match waiting.class {
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -91,3 +91,16 @@
     }
     assert_eq!(even.slots(), 9, "a target that does not slow down keeps all");
 }
+
+/// Pattern: a target turns slow while requests wait.
+#[test]
+fn what_cannot_be_in_time_at_the_new_pace_is_refused_when_the_pace_changes() {
+    let now = Instant::now();
+    let mut gate = open_gate(1);
+    assert_eq!(gate.arrive(now, request(now, 1, 1)), Verdict::Start);
+    let short = Request { deadline: now + AIM, ..request(now, 2, 1) };
+    assert_eq!(gate.arrive(now, short), Verdict::Wait);
+    gate.observe_pace(7.0);
+    gate.finish(now, 1, End::Answered(WORK));
+    assert_eq!(gate.next(now), Next::Expire(2));
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -249,6 +249,7 @@
         let row = standing.as_ref().map(|standing| &standing.row);
         match once::decide_arrival(row, call.fingerprint) {
             Arrival::Conflict => Answer::refusal(Outcome::Unknown, Reason::Conflict, self.node),
+            Arrival::Refused => Answer::refusal(Outcome::NotRun, Reason::RefusedBefore, self.node),
             Arrival::Ask { node, ended } => self.recall(call, deadline, node, ended).await,
             Arrival::Proceed => {
                 let tag = standing.map(|standing| standing.tag).unwrap_or_default();
@@ -292,7 +293,7 @@
             None => match self.claims.read(&call.service, &call.id).await {
                 Ok(None) => Some(Box::from("")),
                 Ok(Some(standing)) if standing.row.state == once::State::Refused => {
-                    Some(standing.tag)
+                    return answer;
                 }
                 _ => None,
             },
@@ -324,6 +325,11 @@
                     retry_after: STORE_RETRY_AFTER,
                     ..Answer::refusal(Outcome::Unknown, refused.reason, self.node)
                 },
+                // A daemon with a newer configuration may know what this one does
+                // not, so that a copy of the request may run there.
+                reason @ (Reason::UnknownService | Reason::UnknownPath | Reason::UnknownMethod) => {
+                    Answer::refusal(Outcome::Unknown, reason, self.node)
+                }
                 reason => Answer::refusal(Outcome::NotRun, reason, self.node),
             },
             text: format!("{}\n", refused.text).into(),
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -233,7 +233,7 @@
             deadline: job.deadline,
             aim: job.aim,
             rank: job.request.rank,
-            work: self.expected(&job.request),
+            work: self.usual(&job.request),
             may_queue: job.request.may_queue || job.is_claimed(),
         };
         if arrival.may_queue || !self.misses_aim(&job.request) {
@@ -254,9 +254,15 @@
     /// Time that a request takes at the target's present pace, where both are
     /// known.
     fn expected(&self, request: &Request) -> Option<Duration> {
-        let pace = self.report.filter(|report| report.pace > 0)?.pace;
-        let usual = self.works.usual(&request.kind).unwrap_or(guess_work(request.aim));
-        Some(usual.mul_f64(pace_factor(pace)))
+        let pace = self.report.map_or(0, |report| report.pace);
+        Some(self.usual(request)?.mul_f64(pace_factor(pace)))
+    }
+
+    /// Time that a request takes at the usual pace, where the target tells its
+    /// pace.
+    fn usual(&self, request: &Request) -> Option<Duration> {
+        let _paced = self.report.filter(|report| report.pace > 0)?;
+        Some(self.works.usual(&request.kind).unwrap_or(guess_work(request.aim)))
     }
 
     fn arrive_at_gate(&mut self, now: Instant, arrival: admit::Request, job: Job) {
@@ -396,6 +402,7 @@
                 self.gate.open();
             }
             self.report = Some(Heard { pace, at: now });
+            self.gate.observe_pace(pace_factor(pace));
         }
     }
 
--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -14,6 +14,8 @@
         /// Status of the answer, when the run has ended.
         ended: Option<u16>,
     },
+    /// A copy was refused for good: no copy ever runs.
+    Refused,
     /// The id stands for a request with another content.
     Conflict,
 }
@@ -58,7 +60,7 @@
         return Arrival::Conflict;
     }
     match row.state {
-        State::Refused => Arrival::Proceed,
+        State::Refused => Arrival::Refused,
         State::Claimed { node } => Arrival::Ask { node, ended: None },
         State::Ended { node, status } => Arrival::Ask { node, ended: Some(status) },
     }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -6,10 +6,9 @@
 //! run the request, and everybody else learns who that was. It is written by
 //! the guard before the first byte goes to the target.
 //!
-//! A refusal that the caller is told about replaces the row's tag. A copy of
-//! the request that arrived before the refusal holds the earlier tag, so that
-//! it can never claim the row afterwards; a copy that the caller sends after
-//! the refusal reads the new tag and may run.
+//! A refusal that the caller is told about is written into the row and stays
+//! there. A copy of the request that arrived before it holds the earlier tag, so
+//! that it can never claim the row; a copy that arrives later reads the refusal.
 //!
 //! ```
 //! use once::{Arrival, decide_arrival};
