A randomized soak on the platform's interface, with the real programs as processes

Change: lab soak draws a schedule of overlapping faults from a seed (daemons killed, stopped, paused, reloaded; targets killed, paused, leaving, slow, failing, shedding; ways to targets and to the store silent, slow, cut; the store down, silent, slow, losing answers, forgetting; changes of the configuration), and judges fourteen promises by what callers and targets see.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -428,12 +428,14 @@
     ureq::Agent::new_with_config(config)
 }
 
-fn get(address: SocketAddr, path: &str) -> Option<Value> {
+/// Reads a page as JSON; `None` when there is none.
+pub fn get(address: SocketAddr, path: &str) -> Option<Value> {
     let mut response = agent().get(format!("http://{address}{path}")).call().ok()?;
     serde_json::from_str(&response.body_mut().read_to_string().ok()?).ok()
 }
 
-fn post(address: SocketAddr, path: &str, body: &Value) -> Option<Value> {
+/// Sends JSON to a page; `None` when it gives no JSON back.
+pub fn post(address: SocketAddr, path: &str, body: &Value) -> Option<Value> {
     let request = agent().post(format!("http://{address}{path}"));
     let mut response = request.send(body.to_string()).ok()?;
     serde_json::from_str(&response.body_mut().read_to_string().ok()?).ok()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,7 +13,6 @@
 //! ```
 
 pub mod deployment;
-pub mod faults;
 pub mod fleet;
 pub mod latency;
 pub mod load;
@@ -23,7 +22,9 @@
 pub mod relay;
 pub mod scenario;
 pub mod service_time;
+pub mod sidecar;
 pub mod slopes;
+pub mod soak;
 pub mod standin;
 pub mod target;
 pub mod tour;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,7 +8,8 @@
 use kernel::Kernel;
 use lexopt::ValueExt;
 
-use lab::{faults, latency, measure, process, relay, scenario, slopes, standin, target, tour};
+use lab::soak::{self, callers};
+use lab::{latency, measure, process, relay, scenario, sidecar, slopes, standin, target, tour};
 
 const HELP: &str = "\
 lab: stand-ins, load and measurement
@@ -17,12 +18,15 @@
   lab tour [--seed N]        both deployments at their sizes of today
   lab measure --scenario NAME[,NAME] --policy NAME[,NAME] [--seed N]
                              policies side by side, one JSON object for each
-  lab faults [--seed N] [--rounds K]
-                             seeded faults; exits with 1 when a promise is broken
+  lab soak [--seed N] [--rounds K] [--daemons M] [--skip N,N] [--shrink]
+           [--interface platform|callers] [--records FOLDER]
+                             random faults, promises checked; exits with 1 when one
+                             is broken; --records keeps the daemons' logs
   lab slopes [--seed N]      costs as fleet, configuration and calls grow
   lab latency [--seed N]     time that two daemons add to a call
   lab standin --listen A     (started by the others) the platform
   lab target --listen A ...  (started by the others) a target
+  lab sidecar --listen A ... (started by the others) a target on the platform
   lab relay --listen A --to A  (started by the others) passes bytes on
   lab daemon FLAGS           (started by the others) bronzeportd
 ";
@@ -45,7 +49,8 @@
     match command.as_deref() {
         Some("tour") => run_tour(Options::read(args)?),
         Some("measure") => run_measure(Options::read(args)?),
-        Some("faults") => run_faults(Options::read(args)?),
+        Some("soak") => run_soak(Options::read(args)?),
+        Some("sidecar") => run_sidecar(Options::read(args)?),
         Some("slopes") => run_slopes(Options::read(args)?),
         Some("latency") => run_latency(Options::read(args)?),
         Some("standin") => run_standin(Options::read(args)?),
@@ -71,6 +76,13 @@
     policies: Vec<String>,
     records: Option<PathBuf>,
     rounds: usize,
+    daemons: usize,
+    skip: Vec<usize>,
+    shrink: bool,
+    interface: String,
+    control: Option<SocketAddr>,
+    announced: Option<SocketAddr>,
+    name: String,
 }
 
 impl Options {
@@ -86,6 +98,13 @@
             policies: vec!["bronzeport".into()],
             records: None,
             rounds: 1,
+            daemons: 6,
+            skip: Vec::new(),
+            shrink: false,
+            interface: "platform".into(),
+            control: None,
+            announced: None,
+            name: "desk".into(),
         };
         let mut parser = lexopt::Parser::from_args(args);
         while let Some(arg) = parser.next()? {
@@ -104,6 +123,18 @@
                 lexopt::Arg::Long("policy") => options.policies = list(&mut parser)?,
                 lexopt::Arg::Long("records") => options.records = Some(parser.value()?.into()),
                 lexopt::Arg::Long("rounds") => options.rounds = parser.value()?.parse()?,
+                lexopt::Arg::Long("daemons") => options.daemons = parser.value()?.parse()?,
+                lexopt::Arg::Long("skip") => {
+                    let numbers = list(&mut parser)?;
+                    options.skip = numbers.iter().map(|n| n.parse()).collect::<Result<_, _>>()?;
+                }
+                lexopt::Arg::Long("shrink") => options.shrink = true,
+                lexopt::Arg::Long("interface") => options.interface = parser.value()?.string()?,
+                lexopt::Arg::Long("control") => options.control = Some(parser.value()?.parse()?),
+                lexopt::Arg::Long("announced") => {
+                    options.announced = Some(parser.value()?.parse()?)
+                }
+                lexopt::Arg::Long("service") => options.name = parser.value()?.string()?,
                 lexopt::Arg::Long("json") => {}
                 other => return Err(other.unexpected().into()),
             }
@@ -139,10 +170,47 @@
     Ok(if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn run_faults(options: Options) -> Result<ExitCode, Failure> {
-    let counts = faults::run(options.seed, options.rounds).map_err(String::from)?;
-    println!("{}", counts.json());
-    Ok(if counts.is_kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+fn run_soak(options: Options) -> Result<ExitCode, Failure> {
+    let (result, is_kept) = match &*options.interface {
+        "callers" => {
+            let counts = callers::run(options.seed, options.rounds).map_err(String::from)?;
+            (counts.json(), counts.is_kept())
+        }
+        "platform" => {
+            let settings = soak::Settings {
+                seed: options.seed,
+                rounds: options.rounds,
+                daemons: options.daemons,
+                skip: options.skip,
+                shrink: options.shrink,
+                logs: options.records,
+            };
+            let report = soak::run(&settings).map_err(String::from)?;
+            (report.json(), report.broken.is_empty())
+        }
+        other => return Err(format!("no interface {other}: platform or callers").into()),
+    };
+    println!("{result}");
+    Ok(if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn run_sidecar(options: Options) -> Result<ExitCode, Failure> {
+    process::end_with_parent();
+    let kernel = Kernel::new()?;
+    let listener = options.listener()?;
+    let settings = sidecar::Settings {
+        control: options.control.ok_or("--control is missing")?,
+        announced: options.announced.ok_or("--announced is missing")?,
+        service: options.name.into(),
+        slots: options.slots,
+        work: options.service,
+        seed: options.seed,
+    };
+    kernel.run(async {
+        let _serving = sidecar::serve(&kernel, listener, settings)?;
+        std::future::pending::<()>().await;
+        Ok(ExitCode::SUCCESS)
+    })
 }
 
 fn run_slopes(options: Options) -> Result<ExitCode, Failure> {
--- /dev/null
+++ b/crates/lab/src/sidecar.rs
@@ -0,0 +1,243 @@
+//! A stand-in target that speaks as targets do on the users' platform: it
+//! announces itself to the daemon beside it, and tells its load.
+//!
+//! It prints a line for each run, so that an observer sees what a target sees:
+//!
+//! | line | meaning |
+//! |---|---|
+//! | `run MS ID CALLER DEADLINE` | a request has begun to run |
+//! | `ran MS ID` | a request has run to its end |
+//! | `acked MS` | the daemon has acknowledged that this target leaves |
+
+use std::cell::{Cell, RefCell};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
+use kernel::Kernel;
+use serde_json::{Value, json};
+use web::{Client, Limits, Reuse, read_body};
+
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Time between two announcements.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(300);
+/// Time after which an announcement counts as lost.
+const HEARTBEAT_TIME: Duration = Duration::from_secs(1);
+/// Time of the work of requests whose path starts with `/slow/`.
+const SLOW_WORK: Duration = Duration::from_secs(2);
+
+/// Settings of a stand-in target.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Address where the daemon takes announcements.
+    pub control: SocketAddr,
+    /// Address that it announces.
+    pub announced: SocketAddr,
+    /// Service that it answers for.
+    pub service: Box<str>,
+    /// Requests that it runs at a time.
+    pub slots: usize,
+    /// Mean time of a request.
+    pub work: Duration,
+    /// Seed of the times.
+    pub seed: u64,
+}
+
+struct Target {
+    kernel: Kernel,
+    settings: Settings,
+    instance: String,
+    born: u64,
+    running: Cell<usize>,
+    pace: Cell<f64>,
+    fails: RefCell<Box<str>>,
+    is_leaving: Cell<bool>,
+    random: RefCell<fastrand::Rng>,
+}
+
+/// Serves the target on `listener` and announces it.
+pub fn serve(
+    kernel: &Kernel,
+    listener: TcpListener,
+    settings: Settings,
+) -> std::io::Result<web::Serving> {
+    let born = unix_millis();
+    let target = Rc::new(Target {
+        kernel: kernel.clone(),
+        instance: format!("i-{born:x}-{}", std::process::id()),
+        born,
+        running: Cell::new(0),
+        pace: Cell::new(1.0),
+        fails: RefCell::default(),
+        is_leaving: Cell::new(false),
+        random: RefCell::new(fastrand::Rng::with_seed(settings.seed)),
+        settings,
+    });
+    let limits = Limits {
+        head_time: Duration::from_secs(60),
+        head_bytes: 64 * 1024,
+        headers: 100,
+        connections: 1000,
+    };
+    let announcing = target.clone();
+    kernel.start(async move { announcing.announce().await });
+    let handler: web::Handler = Rc::new(move |request, _| Box::pin(target.clone().handle(request)));
+    web::serve(kernel, listener, limits, handler)
+}
+
+impl Target {
+    async fn announce(&self) {
+        let client = Client::new(self.kernel.clone(), self.settings.control, 1);
+        let (mut sequence, mut is_acked) = (0, false);
+        loop {
+            sequence += 1;
+            let is_leaving = self.is_leaving.get();
+            let sending = client.send(self.heartbeat(sequence, is_leaving), Reuse::Allowed);
+            let sent = self.kernel.clock().timeout(HEARTBEAT_TIME, sending).await;
+            let is_good = matches!(&sent, Ok(Ok(response)) if response.status().is_success());
+            if is_good && is_leaving && !is_acked {
+                is_acked = true;
+                say(&format!("acked {}", unix_millis()));
+            }
+            self.kernel.clock().sleep(HEARTBEAT_EVERY).await;
+        }
+    }
+
+    fn heartbeat(&self, sequence: u64, is_leaving: bool) -> Request<Bytes> {
+        let body = json!({
+            "address": self.settings.announced.to_string(),
+            "born": self.born,
+            "info": {
+                "service": *self.settings.service,
+                "version": "v1",
+                "zone": "z",
+                "slots": self.settings.slots,
+            },
+            "status": {
+                "state": if is_leaving { "draining" } else { "ready" },
+                "sequence": sequence,
+                "cold_remaining": "0ms",
+            },
+        });
+        Request::builder()
+            .method("POST")
+            .uri(format!("/api/Instances.Heartbeat/{}", self.instance))
+            .header("host", "daemon")
+            .body(Bytes::from(body.to_string()))
+            .expect("a valid request")
+    }
+
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Bytes> {
+        let (head, body) = request.into_parts();
+        let body = read_body(body, MAX_BODY_BYTES).await.unwrap_or_default();
+        let path = head.uri.path().to_owned();
+        if path == "/lab" {
+            self.set(&body);
+            return self.answer(StatusCode::OK, "", Bytes::new());
+        }
+        if path == "/healthz" {
+            let status = match self.is_leaving.get() {
+                true => StatusCode::SERVICE_UNAVAILABLE,
+                false => StatusCode::OK,
+            };
+            return self.answer(status, "", Bytes::new());
+        }
+        let header = |name: &str| {
+            let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let id = header("bronzeport-request-id");
+        let expected = header("bronzeport-expect-instance");
+        if !expected.is_empty() && expected != self.instance {
+            return self.answer(StatusCode::MISDIRECTED_REQUEST, &id, Bytes::new());
+        }
+        let fails = self.fails.borrow().clone();
+        if self.running.get() >= self.settings.slots || &*fails == "shed" {
+            let mut response = self.answer(StatusCode::SERVICE_UNAVAILABLE, &id, Bytes::new());
+            let mark = HeaderValue::from_static("1");
+            response.headers_mut().insert("bronzeport-not-executed", mark);
+            return response;
+        }
+        let (caller, deadline) =
+            (header("bronzeport-caller-service"), header("bronzeport-deadline-ms"));
+        say(&format!("run {} {id} {caller} {deadline}", unix_millis()));
+        let _running = Running::new(&self.running);
+        let draw = self.random.borrow_mut().f64() + 0.5;
+        let work = match path.starts_with("/slow/") {
+            true => SLOW_WORK,
+            false => self.settings.work.mul_f64(draw * self.pace.get()),
+        };
+        self.kernel.clock().sleep(work).await;
+        say(&format!("ran {} {id}", unix_millis()));
+        if &*fails == "errors" {
+            return self.answer(StatusCode::INTERNAL_SERVER_ERROR, &id, Bytes::new());
+        }
+        let text = format!("{id} {path} {}", String::from_utf8_lossy(&body));
+        self.answer(StatusCode::OK, &id, Bytes::from(text))
+    }
+
+    fn answer(&self, status: StatusCode, id: &str, body: Bytes) -> Response<Bytes> {
+        let pace = (self.pace.get() * 100.0) as u64;
+        let load = format!("{},0,{},{pace}", self.running.get(), self.settings.slots);
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        let headers = [
+            ("bronzeport-server-load", load),
+            ("bronzeport-instance-id", self.instance.clone()),
+            ("bronzeport-request-id", id.to_owned()),
+            ("bronzeport-server-signature", format!("s-{id}")),
+        ];
+        for (name, value) in headers {
+            if let Ok(value) = HeaderValue::try_from(value) {
+                response.headers_mut().insert(name, value);
+            }
+        }
+        response
+    }
+
+    fn set(&self, body: &[u8]) {
+        let value: Value = serde_json::from_slice(body).unwrap_or_default();
+        if let Some(pace) = value["pace"].as_f64() {
+            self.pace.set(pace);
+        }
+        if let Some(fails) = value["fails"].as_str() {
+            *self.fails.borrow_mut() = fails.into();
+        }
+        if value["leave"] == true {
+            self.is_leaving.set(true);
+        }
+    }
+}
+
+struct Running<'a>(&'a Cell<usize>);
+
+impl<'a> Running<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Milliseconds since 1970.
+pub fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+fn say(line: &str) {
+    let mut out = std::io::stdout().lock();
+    // An observer that has gone needs no line.
+    let _ = writeln!(out, "{line}");
+    let _ = out.flush();
+}
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -1,5 +1,5 @@
-//! Seeded schedules of faults during calls, publications and leaving, with
-//! counts of every promise that was broken.
+//! Rounds on the project's own interface: faults during calls, publications and
+//! leaving, with counts of every promise that was broken.
 
 use std::time::{Duration, Instant};
 
@@ -224,15 +224,8 @@
     std::thread::sleep(Duration::from_millis(300));
     counts.ran_twice += fleet.ran_twice(|id| id.starts_with("order")).len();
     counts.wrong_answer += records.iter().filter(|record| record.is_wrong).count();
-    // A copy that was sent after the refusal was told may run.
-    let is_false = |record: &&Record| {
-        let copy = records
-            .iter()
-            .any(|other| other.id == record.id && other.at >= record.at + record.latency);
-        &*record.outcome == "not-run" && !copy
-    };
-    let told: Vec<Box<str>> =
-        records.iter().filter(is_false).map(|record| record.id.clone()).collect();
+    let told = records.iter().filter(|record| &*record.outcome == "not-run");
+    let told: Vec<Box<str>> = told.map(|record| record.id.clone()).collect();
     for id in told {
         if fleet.has_run(&id) {
             eprintln!("  {id} was told not-run and has run");
--- /dev/null
+++ b/crates/lab/src/soak/load.rs
@@ -0,0 +1,178 @@
+//! Callers that keep their connections until the daemon is gone.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use kernel::Kernel;
+use web::{Client, Fault, Reuse};
+
+use crate::sidecar::unix_millis;
+
+/// Time between two requests to one daemon.
+const EVERY: Duration = Duration::from_millis(15);
+/// Time that a caller waits for an answer.
+pub(super) const DEADLINE: Duration = Duration::from_millis(900);
+/// Further wait before it counts as given up.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// Time after which a caller that does not wait leaves.
+const LEAVES_AFTER: Duration = Duration::from_millis(150);
+/// Latest answers by which the callers judge whether they are served well.
+const JUDGED: usize = 200;
+
+/// What a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// It may run again.
+    Safe,
+    /// It runs once at most.
+    Order,
+    /// It may run again, takes long, and its caller leaves.
+    Abandoned,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+pub(super) struct Record {
+    pub(super) id: Box<str>,
+    pub(super) kind: Kind,
+    /// Number of the daemon that it was sent to.
+    pub(super) entry: usize,
+    pub(super) sent_ms: u64,
+    pub(super) done_ms: u64,
+    /// HTTP status; 0 when there was no whole answer.
+    pub(super) status: u16,
+    /// Whether a good answer is that of another request.
+    pub(super) is_wrong: bool,
+    /// Whether the connection broke after the request was sent.
+    pub(super) is_lost: bool,
+}
+
+/// Callers on a thread of their own.
+pub(super) struct Callers {
+    shared: Arc<Shared>,
+    thread: JoinHandle<()>,
+}
+
+#[derive(Default)]
+struct Shared {
+    stop: AtomicBool,
+    latest_good: AtomicUsize,
+    latest: AtomicUsize,
+    records: Mutex<Vec<Record>>,
+}
+
+impl Callers {
+    pub(super) fn start(entries: Vec<SocketAddr>, seed: u64) -> Self {
+        let shared = Arc::new(Shared::default());
+        let sent = shared.clone();
+        let thread = std::thread::spawn(move || {
+            let Ok(kernel) = Kernel::new() else {
+                return;
+            };
+            kernel.run(async {
+                for (number, entry) in entries.into_iter().enumerate() {
+                    let client = Client::new(kernel.clone(), entry, 64);
+                    kernel.start(send_all(kernel.clone(), sent.clone(), client, number, seed));
+                }
+                while !sent.stop.load(Ordering::Relaxed) {
+                    kernel.clock().sleep(EVERY).await;
+                }
+                kernel.clock().sleep(DEADLINE + PATIENCE).await;
+            });
+        });
+        Self { shared, thread }
+    }
+
+    /// Whether nine of ten of the latest requests had good answers. Looks at a
+    /// new set of them each time.
+    pub(super) fn serves_well(&self) -> bool {
+        if self.shared.latest.load(Ordering::Relaxed) < JUDGED {
+            return false;
+        }
+        let total = self.shared.latest.swap(0, Ordering::Relaxed);
+        let good = self.shared.latest_good.swap(0, Ordering::Relaxed);
+        good * 10 >= total * 9
+    }
+
+    pub(super) fn stop(self) -> Vec<Record> {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        if self.thread.join().is_err() {
+            eprintln!("soak: the callers' thread has failed");
+        }
+        let mut records = self.shared.records.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *records)
+    }
+}
+
+async fn send_all(kernel: Kernel, shared: Arc<Shared>, client: Client, entry: usize, seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed ^ ((entry as u64) << 32));
+    for number in 0.. {
+        if shared.stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let kind = match random.u8(..20) {
+            0 => Kind::Abandoned,
+            1..7 => Kind::Order,
+            _ => Kind::Safe,
+        };
+        let id = format!("{seed:x}-{entry}-{number}");
+        let sending = send_one(kernel.clone(), client.clone(), kind, id, entry);
+        let shared = shared.clone();
+        kernel.start(async move {
+            let record = sending.await;
+            if record.kind != Kind::Abandoned {
+                shared.latest.fetch_add(1, Ordering::Relaxed);
+                let is_good = usize::from(record.status == 200);
+                shared.latest_good.fetch_add(is_good, Ordering::Relaxed);
+            }
+            shared.records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+        });
+        kernel.clock().sleep(EVERY).await;
+    }
+}
+
+async fn send_one(kernel: Kernel, client: Client, kind: Kind, id: String, entry: usize) -> Record {
+    let (method, path) = match kind {
+        Kind::Safe => ("GET", format!("/read/{id}")),
+        Kind::Order => ("POST", format!("/order/{id}")),
+        Kind::Abandoned => ("GET", format!("/slow/{id}")),
+    };
+    let limit = match kind {
+        Kind::Abandoned => LEAVES_AFTER,
+        _ => DEADLINE + PATIENCE,
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(&path)
+        .header("host", "soak.example")
+        .header("bronzeport-request-id", &id)
+        .header("bronzeport-deadline-ms", DEADLINE.as_millis().to_string())
+        .header("bronzeport-caller-service", "forged")
+        .body(Bytes::from(format!("body of {id}")))
+        .expect("a valid request");
+    let sent_ms = unix_millis();
+    let answer = kernel.clock().timeout(limit, client.send(request, Reuse::Allowed)).await;
+    let mut record = Record {
+        kind,
+        entry,
+        sent_ms,
+        done_ms: unix_millis(),
+        status: 0,
+        is_wrong: false,
+        is_lost: matches!(answer, Ok(Err(Fault::Lost))),
+        id: id.into(),
+    };
+    if let Ok(Ok(response)) = answer {
+        record.status = response.status().as_u16();
+        let expected = format!("{} {path} body of {}", record.id, record.id);
+        let has_signature = response.headers().contains_key("bronzeport-server-signature");
+        record.is_wrong =
+            record.status == 200 && (!has_signature || response.body() != expected.as_bytes());
+    }
+    record
+}
--- a/crates/lab/tests/seeds.rs
+++ b/crates/lab/tests/seeds.rs
@@ -1,12 +1,12 @@
 //! A short fixed set of seeds of the fault schedules.
 
-use lab::faults;
+use lab::soak::callers;
 
 #[test]
 fn no_promise_is_broken_under_the_fixed_seeds() {
     lab::process::set_program(env!("CARGO_BIN_EXE_lab"));
     for seed in [3, 4] {
-        let counts = faults::run(seed, 1).expect("the fleet runs");
+        let counts = callers::run(seed, 1).expect("the fleet runs");
         assert!(counts.is_kept(), "seed {seed}: {}", counts.json());
     }
 }
