--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -19,12 +19,14 @@
   bronzeport status --daemons A,A               targets with their state and load
   bronzeport drain --daemons A,A                let the targets beside these daemons leave
   bronzeport explain --daemons A,A ID           what was decided about a request
+  bronzeport explain --log FILE... ID           the same, from log files
 
 options:
   --platform IP:PORT   the table service            [BRONZEPORT_PLATFORM]
   --daemons IP:PORT,.. admin addresses of daemons   [BRONZEPORT_DAEMONS]
   --who NAME           who publishes                [BRONZEPORT_WHO, USER]
   --remove SERVICE     with publish: remove a service, may be repeated
+  --log FILE           with explain: a daemon's log, may be repeated; - is the input
   --limit N            with history: newest entries [20]
   --json               print JSON for programs
   --help, --version
@@ -45,6 +47,8 @@
     pub daemons: Vec<SocketAddr>,
     /// Who publishes.
     pub who: Box<str>,
+    /// Log files to explain from.
+    pub logs: Vec<PathBuf>,
     /// Services to remove.
     pub remove: Vec<Box<str>>,
     /// Entries of the history to show.
@@ -115,6 +119,7 @@
         platform: None,
         daemons: Vec::new(),
         who: variable("BRONZEPORT_WHO").or_else(|| variable("USER")).unwrap_or("unknown".into()),
+        logs: Vec::new(),
         remove: Vec::new(),
         limit: 20,
         json: false,
@@ -139,6 +144,7 @@
             }
             Arg::Long("who") => read.who = parser.value()?.string()?.into(),
             Arg::Long("remove") => read.remove.push(parser.value()?.string()?.into()),
+            Arg::Long("log") => read.logs.push(parser.value()?.into()),
             Arg::Long("limit") => read.limit = parser.value()?.parse()?,
             Arg::Value(value) if command.is_none() => {
                 let name = value.string()?;
@@ -157,7 +163,8 @@
 fn check(args: Args) -> Result<Args, UsageError> {
     let needs_platform =
         matches!(args.command, Command::Publish | Command::History | Command::Show);
-    let needs_daemons = matches!(args.command, Command::Status | Command::Drain | Command::Explain);
+    let needs_daemons = matches!(args.command, Command::Status | Command::Drain)
+        || (args.command == Command::Explain && args.logs.is_empty());
     if needs_platform && args.platform.is_none() {
         return Err(usage("--platform is missing".into()));
     }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -7,7 +7,7 @@
 use crate::admin::Admin;
 use crate::args::{Args, Command, HELP};
 use crate::publish::{Publication, PublishError, Published};
-use crate::{files, history, publish};
+use crate::{files, history, logs, publish};
 
 /// How a command ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -295,6 +295,9 @@
 
 fn explain(args: &Args) -> Exit {
     let id = args.operands[0].to_string_lossy().into_owned();
+    if !args.logs.is_empty() {
+        return explain_from_logs(args, &id);
+    }
     let admin = Admin::default();
     let mut failures = Vec::new();
     for daemon in &args.daemons {
@@ -312,6 +315,18 @@
     fail(format!("nothing is remembered of request {id}"))
 }
 
+fn explain_from_logs(args: &Args, id: &str) -> Exit {
+    let lines = match logs::read(&args.logs, id) {
+        Ok(lines) => logs::order(lines),
+        Err(error) => return fail(format!("a log cannot be read: {error}")),
+    };
+    if lines.is_empty() {
+        return fail(format!("no line is about request {id}"));
+    }
+    let lines: Vec<String> = lines.iter().map(logs::Line::text).collect();
+    print_explanation(args, &json!({ "id": id, "lines": lines }))
+}
+
 fn print_explanation(args: &Args, found: &Value) -> Exit {
     if args.json {
         return print(&found.to_string());
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod commands;
 pub mod files;
 pub mod history;
+pub mod logs;
 pub mod publish;
