A second SIGTERM does not end the wait; the soak supervises its daemons

Change: only SIGINT ends the wait. Faults are undone when they are over; a daemon that ends by itself is started again and reported.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -227,6 +227,11 @@
         self.is_leaving = false;
     }
 
+    /// When a request that comes then is likely to find the queue empty.
+    pub fn retry_after(&self) -> Duration {
+        self.wait_behind(self.queue.len()).max(MIN_RETRY_AFTER)
+    }
+
     /// Gives all stated slots at once.
     pub fn open(&mut self) {
         self.limit.open();
@@ -283,7 +288,7 @@
         let present = self.present(now);
         let ahead = self.queue.ahead_of(&waiting, &present);
         let start = now + self.wait_behind(ahead);
-        let retry_after = self.wait_behind(self.queue.len()).max(MIN_RETRY_AFTER);
+        let retry_after = self.retry_after();
         let is_full = self.queue.len() >= MAX_QUEUED_PER_SLOT * usize::from(self.stated);
         if !request.may_queue || is_full {
             return Verdict::Refuse(Refusal::Busy { retry_after });
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -297,7 +297,8 @@
                 Next::Start(ticket) => self.start_run(ticket),
                 Next::Expire(ticket) => {
                     if let Some(job) = self.jobs.remove(&ticket) {
-                        self.refuse(job, Reason::Late, Duration::ZERO);
+                        let after = self.gate.retry_after();
+                        self.refuse(job, Reason::Late, after);
                     }
                 }
             }
@@ -406,6 +407,21 @@
         }
     }
 
+    /// Refuses what waits. One with a claim waits on: giving the claim back takes
+    /// longer than it has.
+    fn refuse_waiting(&mut self, reason: Reason) {
+        let is_free = |(_, job): &(&Ticket, &Job)| job.stage == Stage::Waiting && !job.is_claimed();
+        let waiting: Vec<Ticket> =
+            self.jobs.iter().filter(is_free).map(|(ticket, _)| *ticket).collect();
+        for ticket in waiting {
+            self.gate.withdraw(ticket);
+            if let Some(job) = self.jobs.remove(&ticket) {
+                let after = self.gate.retry_after();
+                self.refuse(job, reason, after);
+            }
+        }
+    }
+
     fn answer_of(&self, answer: TargetAnswer, service: Duration) -> Answer {
         let reason = match answer.fate {
             Fate::Shed => Reason::TargetShed,
@@ -570,16 +586,7 @@
         }
         log::info!("the target is leaving");
         self.gate.leave();
-        let is_waiting =
-            |(_, job): &(&Ticket, &Job)| job.stage == Stage::Waiting && !job.is_claimed();
-        let waiting: Vec<Ticket> =
-            self.jobs.iter().filter(is_waiting).map(|(ticket, _)| *ticket).collect();
-        for ticket in waiting {
-            self.gate.withdraw(ticket);
-            if let Some(job) = self.jobs.remove(&ticket) {
-                self.refuse(job, Reason::Leaving, Duration::ZERO);
-            }
-        }
+        self.refuse_waiting(Reason::Leaving);
     }
 
     /// The address belongs to another target: it is looked at before any more
@@ -654,7 +661,8 @@
             Some(Stage::Waiting) => {
                 self.gate.withdraw(ticket);
                 if let Some(job) = self.jobs.remove(&ticket) {
-                    self.refuse(job, Reason::Late, Duration::ZERO);
+                    let after = self.gate.retry_after();
+                    self.refuse(job, Reason::Late, after);
                 }
             }
             Some(Stage::Claiming | Stage::Running) => {}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use admit::Discipline;
-use kernel::{Kernel, Mailbox, Signals};
+use kernel::{Asked, Kernel, Mailbox, Signals};
 use member::{Member, State};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use route::Policy;
@@ -84,7 +84,7 @@
         let mut signals = Signals::subscribe().describe(|| "signals".into())?;
         let running = start(&kernel, &settings, edge, node, seed)?;
         log::info!("node {node:016x} serves callers at {}", settings.listen);
-        signals.stop(log_reload).await;
+        signals.wait_for(|asked| asked != Asked::Reload, log_reload).await;
         Ok(stop(&kernel, running, &mut signals, &settings).await)
     };
     kernel.run(main)
@@ -192,8 +192,9 @@
         }
     };
     let forced = async {
-        signals.stop(log_reload).await;
-        log::warn!("a second signal ends the wait");
+        // A supervisor may ask more than once; only a person ends the wait.
+        signals.wait_for(|asked| asked == Asked::Interrupt, log_reload).await;
+        log::warn!("an interrupt ends the wait");
     };
     let finish = futures_lite::future::or(finish, forced);
     if kernel.clock().timeout(within, finish).await.is_err() {
--- a/crates/kernel/src/stop.rs
+++ b/crates/kernel/src/stop.rs
@@ -16,8 +16,10 @@
 /// What a signal asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Asked {
-    /// Stop.
+    /// Stop in an orderly way.
     Stop,
+    /// A person at a terminal asks to stop.
+    Interrupt,
     /// Look at the settings again.
     Reload,
 }
@@ -35,21 +37,29 @@
     /// Completes at the next signal.
     pub async fn next(&mut self) -> Asked {
         let stop = async {
-            self.terminate.recv().or(self.interrupt.recv()).await;
+            self.terminate.recv().await;
             Asked::Stop
         };
+        let interrupt = async {
+            self.interrupt.recv().await;
+            Asked::Interrupt
+        };
         let reload = async {
             self.hangup.recv().await;
             Asked::Reload
         };
-        stop.or(reload).await
+        stop.or(interrupt).or(reload).await
     }
 
-    /// Completes at the next signal that asks for a stop. `reload` is called for
-    /// each signal that asks for another look at the settings.
-    pub async fn stop(&mut self, mut reload: impl FnMut()) {
-        while self.next().await == Asked::Reload {
-            reload();
+    /// Completes at the next signal for which `is_awaited` holds. `reload` is
+    /// called for each signal that asks for another look at the settings.
+    pub async fn wait_for(&mut self, is_awaited: impl Fn(Asked) -> bool, reload: impl Fn()) {
+        loop {
+            match self.next().await {
+                asked if is_awaited(asked) => return,
+                Asked::Reload => reload(),
+                Asked::Stop | Asked::Interrupt => {}
+            }
         }
     }
 }
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -22,6 +22,8 @@
 
 /// Time for which callers send before the first fault, and after the last.
 const CALM: Duration = Duration::from_secs(2);
+/// Time between two looks whether a fault is over.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// Broken promises of one round that are printed.
 const MAX_PRINTED: usize = 10;
 /// Time after the last fault within which calls are answered again.
@@ -112,15 +114,16 @@
     let started = Instant::now();
     std::thread::sleep(CALM);
     for step in steps {
-        let due = CALM + step.at;
-        std::thread::sleep(due.saturating_sub(started.elapsed()));
-        mesh.undo_due(started.elapsed())?;
+        while started.elapsed() < CALM + step.at {
+            std::thread::sleep(LOOK_EVERY);
+            mesh.undo_due(started.elapsed())?;
+        }
         eprintln!("  {:>6.2} s {:?}", started.elapsed().as_secs_f64(), step.fault);
         mesh.inject(step, started.elapsed())?;
         report.faults += 1;
     }
     while mesh.has_faults() {
-        std::thread::sleep(Duration::from_millis(50));
+        std::thread::sleep(LOOK_EVERY);
         mesh.undo_due(started.elapsed())?;
     }
     let calm_at = Instant::now();
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -27,6 +27,8 @@
 const SERVES_ON: Duration = Duration::from_millis(3500);
 /// Time between two looks at what is in force.
 const WATCH_EVERY: Duration = Duration::from_millis(200);
+/// Time in which a process is sure to have taken over its signals, in milliseconds.
+const START_MS: u64 = 1000;
 const START_LIMIT: Duration = Duration::from_secs(20);
 
 /// Where a fault was made.
@@ -90,7 +92,8 @@
 
 enum Undo {
     StartDaemon(usize),
-    AwaitStop(usize, u64),
+    /// Process id of the daemon that was asked to stop, and when.
+    AwaitStop(usize, u32, u64),
     ContinueDaemon(usize),
     ContinueTarget(usize),
     StartTarget(usize),
@@ -174,8 +177,10 @@
                 (Place::Host(host), step.lasts, Undo::StartDaemon(host))
             }
             StopDaemon(host) => {
-                signal(self.hosts[host].daemon.as_ref(), "TERM");
-                (Place::Host(host), Duration::ZERO, Undo::AwaitStop(host, unix_millis()))
+                let daemon = self.hosts[host].daemon.as_ref();
+                signal(daemon, "TERM");
+                let id = daemon.map_or(0, Process::id);
+                (Place::Host(host), Duration::ZERO, Undo::AwaitStop(host, id, unix_millis()))
             }
             PauseDaemon(host) => {
                 signal(self.hosts[host].daemon.as_ref(), "STOP");
@@ -255,8 +260,10 @@
         (Place::Host(host), step.lasts, Undo::OpenTarget(host))
     }
 
-    /// Undoes what is over.
+    /// Undoes what is over, and starts a daemon again that has ended by itself, as
+    /// the platform does.
     pub(super) fn undo_due(&mut self, now: Duration) -> Result<(), Box<str>> {
+        self.supervise()?;
         let (due, rest) =
             std::mem::take(&mut self.undo).into_iter().partition(|(until, ..)| *until <= now);
         self.undo = rest;
@@ -269,10 +276,37 @@
         Ok(())
     }
 
+    fn supervise(&mut self) -> Result<(), Box<str>> {
+        for host in 0..self.hosts.len() {
+            let is_stopping = self
+                .undo
+                .iter()
+                .any(|(_, undo, _)| matches!(undo, Undo::AwaitStop(asked, ..) if *asked == host));
+            let daemon = &mut self.hosts[host].daemon;
+            if is_stopping || !daemon.as_mut().is_some_and(Process::has_ended) {
+                continue;
+            }
+            // A signal in the first moments of a process has its default effect.
+            let recent = unix_millis().saturating_sub(START_MS);
+            let is_signalled = self
+                .seen
+                .made
+                .iter()
+                .any(|made| made.place == Place::Host(host) && made.from_ms >= recent);
+            if !is_signalled {
+                self.seen.ends.push(format!("daemon {host} ended by itself"));
+            }
+            self.start_daemon(host)?;
+        }
+        Ok(())
+    }
+
     fn undo(&mut self, undo: Undo, now: Duration, made: usize) -> Result<bool, Box<str>> {
         match undo {
             Undo::StartDaemon(host) => self.start_daemon(host)?,
-            Undo::AwaitStop(host, asked_ms) => return self.await_stop(host, asked_ms, now, made),
+            Undo::AwaitStop(host, id, asked_ms) => {
+                return self.await_stop(host, id, asked_ms, now, made);
+            }
             Undo::ContinueDaemon(host) => signal(self.hosts[host].daemon.as_ref(), "CONT"),
             Undo::ContinueTarget(host) => signal(self.hosts[host].process.as_ref(), "CONT"),
             Undo::StartTarget(host) => {
@@ -299,11 +333,17 @@
     fn await_stop(
         &mut self,
         host: usize,
+        id: u32,
         asked_ms: u64,
         now: Duration,
         made: usize,
     ) -> Result<bool, Box<str>> {
-        let is_over = self.hosts[host].daemon.as_mut().is_none_or(Process::has_ended);
+        let asked = self.hosts[host].daemon.as_mut().filter(|daemon| daemon.id() == id);
+        let Some(daemon) = asked else {
+            // It was killed meanwhile, or has been started again.
+            return Ok(true);
+        };
+        let is_over = daemon.has_ended();
         let waited = Duration::from_millis(unix_millis().saturating_sub(asked_ms));
         let paused = self
             .undo
@@ -311,15 +351,13 @@
             .any(|(_, undo, _)| matches!(undo, Undo::ContinueDaemon(paused) if *paused == host));
         if !is_over && (waited < STOP_LIMIT || paused) {
             let again = now + Duration::from_millis(20);
-            self.undo.push((again, Undo::AwaitStop(host, asked_ms), made));
+            self.undo.push((again, Undo::AwaitStop(host, id, asked_ms), made));
             return Ok(false);
         }
         if !is_over {
             self.seen.ends.push(format!("daemon {host} did not stop within {STOP_LIMIT:?}"));
         }
-        if self.hosts[host].daemon.is_some() {
-            self.start_daemon(host)?;
-        }
+        self.start_daemon(host)?;
         Ok(true)
     }
 
