Gate: at a slow pace, what cannot end in time waits for a better pace

Change: a request is refused as late only when it could not end in time at the usual pace either; until the pace changes it waits and holds no slot; those that can end now go first.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -133,7 +133,9 @@
             return Verdict::Refuse(Refusal::Leaving);
         }
         self.limit.warm_up(now);
-        if self.has_free_slot() && self.queue.len() == 0 {
+        let present = self.present(now);
+        let fits = present.pace <= 1.0 || now + present.needed(request.work) <= request.deadline;
+        if self.has_free_slot() && self.queue.len() == 0 && fits {
             self.running.insert(request.ticket);
             return Verdict::Start;
         }
@@ -293,7 +295,7 @@
         if !request.may_queue || is_full {
             return Verdict::Refuse(Refusal::Busy { retry_after });
         }
-        if start + present.needed(waiting.work) > request.deadline {
+        if start + present.needed_at_best(waiting.work) > request.deadline {
             return Verdict::Refuse(Refusal::Late { retry_after });
         }
         self.queue.push(waiting);
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -59,7 +59,16 @@
     /// Time that a request needs once it has started. A start that is not
     /// finished in time takes a slot for nothing.
     pub(crate) fn needed(&self, work: Option<Duration>) -> Duration {
-        let expected = work.map_or(self.service, |work| work.mul_f64(self.pace));
+        self.needed_at(work, self.pace)
+    }
+
+    /// Time that a request needs if the target is at its usual pace by then.
+    pub(crate) fn needed_at_best(&self, work: Option<Duration>) -> Duration {
+        self.needed_at(work, self.pace.min(1.0))
+    }
+
+    fn needed_at(&self, work: Option<Duration>, pace: f64) -> Duration {
+        let expected = work.map_or(self.service, |work| work.mul_f64(pace));
         expected.mul_f64(NEEDED_FACTOR)
     }
 }
@@ -83,16 +92,21 @@
     /// Takes the request to run next. In a queue that is too long for all, those
     /// whose answers can still be of full use go before those that are late
     /// already: else each would be late in turn. A patient one counts as urgent
-    /// when it must start within the margin to be in time.
+    /// when it must start within the margin to be in time. One that could not end
+    /// at the present pace waits for a better one.
     pub(crate) fn pop(&mut self, present: &Present) -> Option<Waiting> {
-        let keyed = self.waiting.iter().enumerate();
+        let fits = |waiting: &Waiting| {
+            present.pace <= 1.0 || present.now + present.needed(waiting.work) <= waiting.deadline
+        };
+        let keyed = self.waiting.iter().enumerate().filter(|(_, waiting)| fits(waiting));
         let first = keyed.min_by_key(|(_, waiting)| key_of(waiting, present))?.0;
         Some(self.waiting.swap_remove(first))
     }
 
-    /// Takes a request that cannot be answered before its deadline any more.
+    /// Takes a request that cannot be answered before its deadline any more, even
+    /// if the target is at its usual pace from now on.
     pub(crate) fn pop_overdue(&mut self, present: &Present) -> Option<Waiting> {
-        let is_overdue = |w: &Waiting| w.deadline < present.now + present.needed(w.work);
+        let is_overdue = |w: &Waiting| w.deadline < present.now + present.needed_at_best(w.work);
         let place = self.waiting.iter().position(is_overdue)?;
         Some(self.waiting.swap_remove(place))
     }
