--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -357,6 +357,9 @@
         if !is_over {
             self.seen.ends.push(format!("daemon {host} did not stop within {STOP_LIMIT:?}"));
         }
+        if !is_over {
+            self.hosts[host].daemon = None;
+        }
         self.start_daemon(host)?;
         Ok(true)
     }
@@ -403,7 +406,11 @@
         Ok(())
     }
 
+    /// Starts a daemon unless it runs: two faults may ask for it.
     fn start_daemon(&mut self, host: usize) -> Result<(), Box<str>> {
+        if self.hosts[host].daemon.as_mut().is_some_and(|daemon| !daemon.has_ended()) {
+            return Ok(());
+        }
         self.keep_log(host);
         self.hosts[host].daemon = Some(start(&self.hosts[host].daemon_args)?);
         Ok(())
