Tests of the whole path on the platform's interface, and of three failures explained

The tests found two faults: a daemon without a configuration answered 502, which tells a caller nothing, and a guard wrote no line of a late run, since it did not know that it was late. Eleven tests with real processes.

--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -444,7 +444,8 @@
     fn finish(&mut self, mut job: Job, answer: Answer) {
         let request = job.request.clone();
         let Answer { outcome, reason, status, service, .. } = answer;
-        let ran = Event::Ran { outcome, reason, status, service_ms: service };
+        let is_late = self.now() > job.aim;
+        let ran = Event::Ran { outcome, reason, status, service_ms: service, is_late };
         self.note(&request.id, ran);
         metrics::counter!("bronzeport_guard_ran_total", "outcome" => journal::outcome_text(outcome))
             .increment(1);
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -144,6 +144,8 @@
         status: u16,
         #[serde(serialize_with = "write_millis")]
         service_ms: Duration,
+        /// Whether the answer comes too late to be of full use.
+        is_late: bool,
     },
     /// Its caller or entry has gone.
     Cancelled,
@@ -309,7 +311,9 @@
                 Weight::Usual
             }
             Self::Ended { .. } | Self::Refused { .. } | Self::Left { .. } => Weight::Bad,
-            Self::Ran { outcome: Outcome::Ran, status, .. } if *status < 500 => Weight::Usual,
+            Self::Ran { outcome: Outcome::Ran, status, is_late: false, .. } if *status < 500 => {
+                Weight::Usual
+            }
             Self::Ran { .. } | Self::Cancelled => Weight::Bad,
             _ => Weight::Under,
         }
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -7,7 +7,7 @@
 
 pub mod callers;
 mod check;
-mod host;
+pub mod host;
 mod load;
 mod schedule;
 
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -82,6 +82,8 @@
     callers: SocketAddr,
     admin: SocketAddr,
     target: SocketAddr,
+    announce: SocketAddr,
+    ready: SocketAddr,
     daemon_args: Vec<String>,
     target_args: Vec<String>,
     daemon: Option<Process>,
@@ -104,8 +106,9 @@
     Nothing,
 }
 
-/// A store, and hosts with a daemon and a target each.
-pub(super) struct Mesh {
+/// A store, and hosts with a daemon and a target each. Everything ends when it is
+/// dropped.
+pub struct Mesh {
     store: SocketAddr,
     _store_process: Process,
     hosts: Vec<Host>,
@@ -125,7 +128,7 @@
 
 impl Mesh {
     /// Starts everything and waits until all daemons are ready.
-    pub(super) fn start(daemons: usize, seed: u64, logs: Option<&Path>) -> Result<Self, Box<str>> {
+    pub fn start(daemons: usize, seed: u64, logs: Option<&Path>) -> Result<Self, Box<str>> {
         let store = free_address();
         let args = ["standin", "--listen", &store.to_string(), "--seed", &seed.to_string()];
         let store_process = start(&args.map(String::from))?;
@@ -148,15 +151,79 @@
             mesh.start_target(number)?;
             mesh.start_daemon(number)?;
         }
+        mesh.wait_until_ready()?;
+        mesh.start_watcher();
+        Ok(mesh)
+    }
+
+    /// Waits until each daemon knows its target, the others and a configuration.
+    pub fn wait_until_ready(&self) -> Result<(), Box<str>> {
+        let daemons = self.hosts.len();
         let is_ready = |host: &Host| {
             let state = get(host.admin, "/state").unwrap_or_default();
-            let members = state["members"].as_array().map_or(0, Vec::len);
-            state["target"]["reachable"] == true && members >= daemons
+            let alive = |member: &&Value| member["state"] == "alive";
+            let members = state["members"].as_array().into_iter().flatten().filter(alive).count();
+            let is_configured = state["revision"].as_u64() > Some(0);
+            state["target"]["reachable"] == true && members >= daemons && is_configured
         };
-        let all_ready = || mesh.hosts.iter().all(is_ready);
-        wait_until(START_LIMIT, all_ready).ok_or("the daemons are not ready in time")?;
-        mesh.start_watcher();
-        Ok(mesh)
+        let all_ready = || self.hosts.iter().all(is_ready);
+        let waited = wait_until(START_LIMIT, all_ready);
+        waited.map(drop).ok_or_else(|| "the daemons are not ready in time".into())
+    }
+
+    /// Address of a host's daemon for callers.
+    pub fn callers(&self, host: usize) -> SocketAddr {
+        self.hosts[host].callers
+    }
+
+    /// Address where a host's target announces itself.
+    pub fn announce(&self, host: usize) -> SocketAddr {
+        self.hosts[host].announce
+    }
+
+    /// Address where a host's daemon tells whether it is ready.
+    pub fn ready(&self, host: usize) -> SocketAddr {
+        self.hosts[host].ready
+    }
+
+    /// Service of a host's target.
+    pub fn service(&self, host: usize) -> &str {
+        &self.hosts[host].service
+    }
+
+    /// Sets the store's faults.
+    pub fn set_store(&self, faults: &Value) {
+        post(self.store, "/faults", faults);
+    }
+
+    /// Sets how a host's target behaves.
+    pub fn tell_target(&self, host: usize, way: &Value) {
+        post(self.hosts[host].target, "/lab", way);
+    }
+
+    /// Kills a host's daemon.
+    pub fn kill_daemon(&mut self, host: usize) {
+        self.hosts[host].daemon = None;
+    }
+
+    /// Sends a signal to a host's daemon.
+    pub fn signal_daemon(&self, host: usize, name: &str) {
+        signal(self.hosts[host].daemon.as_ref(), name);
+    }
+
+    /// Whether a host's daemon has ended.
+    pub fn has_ended(&mut self, host: usize) -> bool {
+        self.hosts[host].daemon.as_mut().is_none_or(Process::has_ended)
+    }
+
+    /// Lines that a host's daemon has written since the last call.
+    pub fn daemon_lines(&self, host: usize) -> Vec<Box<str>> {
+        self.hosts[host].daemon.as_ref().map(Process::lines).unwrap_or_default()
+    }
+
+    /// Lines that a host's target has written since the last call.
+    pub fn target_lines(&self, host: usize) -> Vec<Box<str>> {
+        self.hosts[host].process.as_ref().map(Process::lines).unwrap_or_default()
     }
 
     pub(super) fn entries(&self) -> Vec<SocketAddr> {
@@ -407,7 +474,7 @@
     }
 
     /// Starts a daemon unless it runs: two faults may ask for it.
-    fn start_daemon(&mut self, host: usize) -> Result<(), Box<str>> {
+    pub fn start_daemon(&mut self, host: usize) -> Result<(), Box<str>> {
         if self.hosts[host].daemon.as_mut().is_some_and(|daemon| !daemon.has_ended()) {
             return Ok(());
         }
@@ -513,6 +580,8 @@
         callers,
         admin,
         target,
+        announce: control,
+        ready,
         daemon_args: args_of("daemon", daemon),
         target_args: args_of("sidecar", target_flags),
         daemon: None,
--- /dev/null
+++ b/crates/lab/tests/platform.rs
@@ -0,0 +1,290 @@
+//! The whole path on the platform's interface, with real processes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use lab::fleet::wait_until;
+use lab::soak::host::Mesh;
+use serde_json::json;
+
+/// Hosts 0, 2 and 4 answer for `desk`, 1 and 3 for `desk-archive`.
+const HOSTS: usize = 5;
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn mesh() -> Mesh {
+    lab::process::set_program(env!("CARGO_BIN_EXE_lab"));
+    Mesh::start(HOSTS, 7, None).expect("the processes start")
+}
+
+struct Seen {
+    status: u16,
+    body: String,
+    retry_after: Option<String>,
+    has_signature: bool,
+    took: Duration,
+}
+
+fn call(entry: SocketAddr, method: &str, path: &str, id: &str, deadline_ms: u64) -> Seen {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(LIMIT))
+        .http_status_as_error(false)
+        .build();
+    let request = ureq::http::Request::builder()
+        .method(method)
+        .uri(format!("http://{entry}{path}"))
+        .header("host", "soak.example")
+        .header("bronzeport-request-id", id)
+        .header("bronzeport-deadline-ms", deadline_ms.to_string())
+        .header("bronzeport-caller-service", "forged")
+        .body(String::from("body"))
+        .expect("a valid request");
+    let started = Instant::now();
+    let mut response =
+        ureq::Agent::new_with_config(config).run(request).expect("the daemon answers");
+    let header = |name: &str| {
+        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+        value.map(str::to_owned)
+    };
+    Seen {
+        status: response.status().as_u16(),
+        retry_after: header("retry-after"),
+        has_signature: header("bronzeport-server-signature").is_some(),
+        body: response.body_mut().read_to_string().unwrap_or_default(),
+        took: started.elapsed(),
+    }
+}
+
+/// Sends raw bytes and returns what comes back until the other side closes or a
+/// second has passed.
+fn raw(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).expect("it listens");
+    stream.set_read_timeout(Some(Duration::from_secs(1))).expect("a socket option");
+    stream.write_all(bytes).expect("it reads");
+    let mut text = Vec::new();
+    let mut buffer = [0; 4096];
+    while let Ok(length @ 1..) = stream.read(&mut buffer) {
+        text.extend_from_slice(&buffer[..length]);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// All lines of all targets that begin with `word`.
+fn lines(mesh: &Mesh, word: &str) -> Vec<Box<str>> {
+    std::thread::sleep(Duration::from_millis(50));
+    let lines = (0..HOSTS).flat_map(|host| mesh.target_lines(host));
+    lines.filter(|line| line.starts_with(word)).collect()
+}
+
+#[test]
+fn a_request_comes_back_whole_with_the_callers_service_and_what_is_left_of_its_time() {
+    let mesh = mesh();
+    let read = call(mesh.callers(1), "GET", "/read/x?q=1", "r-1", 700);
+    assert_eq!((read.status, &*read.body), (200, "r-1 /read/x body"));
+    assert!(read.has_signature);
+    let order = call(mesh.callers(2), "POST", "/order/y", "o-1", 700);
+    assert_eq!((order.status, &*order.body), (200, "o-1 /order/y body"));
+    let runs = lines(&mesh, "run ");
+    let words: Vec<Vec<&str>> = runs.iter().map(|line| line.split(' ').collect()).collect();
+    let run = |id: &str| words.iter().find(|words| words[2] == id).expect("it ran").clone();
+    assert_eq!(run("r-1")[3], mesh.service(1));
+    assert_eq!(run("o-1")[3], mesh.service(2));
+    for id in ["r-1", "o-1"] {
+        let left: u64 = run(id)[4].parse().expect("a number");
+        assert!((300..=700).contains(&left), "{left} ms of 700 are left");
+    }
+    assert_eq!(call(mesh.callers(0), "GET", "/none/x", "n-1", 700).status, 404);
+}
+
+#[test]
+fn a_daemon_without_a_configuration_is_not_ready_and_answers_503() {
+    let mut mesh = mesh();
+    for host in 0..HOSTS {
+        mesh.kill_daemon(host);
+    }
+    mesh.set_store(&json!({ "silent": true }));
+    mesh.start_daemon(0).expect("it starts");
+    lab::fleet::wait_for(mesh.callers(0)).expect("it listens");
+    let seen = call(mesh.callers(0), "GET", "/none/x", "n-1", 700);
+    assert_eq!(seen.status, 503, "{}", seen.body);
+    assert!(raw(mesh.ready(0), b"GET /api/readyz HTTP/1.1\r\nhost: x\r\n\r\n").contains(" 503 "));
+}
+
+#[test]
+fn a_daemon_that_starts_with_the_store_away_learns_all_from_the_others() {
+    let mut mesh = mesh();
+    mesh.set_store(&json!({ "silent": true }));
+    mesh.kill_daemon(0);
+    std::thread::sleep(Duration::from_millis(500));
+    mesh.start_daemon(0).expect("it starts");
+    mesh.wait_until_ready().expect("the others find it");
+    let seen = call(mesh.callers(0), "GET", "/read/x", "r-1", 700);
+    assert_eq!(seen.status, 200, "{}", seen.body);
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work_with_the_store_away() {
+    let mesh = mesh();
+    mesh.set_store(&json!({ "down": true }));
+    mesh.tell_target(0, &json!({ "leave": true }));
+    let acked = || mesh.target_lines(0).iter().any(|line| line.starts_with("acked"));
+    wait_until(LIMIT, acked).expect("the daemon acknowledges it");
+    let _before = lines(&mesh, "run ");
+    for number in 0..30 {
+        let entry = mesh.callers(number % HOSTS);
+        let seen = call(entry, "POST", &format!("/order/{number}"), &format!("o-{number}"), 700);
+        assert_eq!(seen.status, 200, "{}", seen.body);
+    }
+    let late = mesh.target_lines(0).into_iter().filter(|line| line.starts_with("run "));
+    assert_eq!(late.count(), 0);
+    assert_eq!(lines(&mesh, "run ").len(), 30, "each ran once, at the other targets");
+}
+
+#[test]
+fn a_caller_that_leaves_is_cancelled_through_both_hops() {
+    let mesh = mesh();
+    for number in 0..8 {
+        let mut stream = TcpStream::connect(mesh.callers(0)).expect("it listens");
+        let head = format!(
+            "GET /slow/{number} HTTP/1.1\r\nhost: soak.example\r\n\
+             bronzeport-request-id: s-{number}\r\nbronzeport-deadline-ms: 4000\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("it reads");
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    std::thread::sleep(Duration::from_millis(2500));
+    let all = lines(&mesh, "ra");
+    assert_eq!(all.iter().filter(|line| line.starts_with("ran ")).count(), 0, "{all:?}");
+}
+
+#[test]
+fn malformed_smuggled_and_oversized_requests_reach_no_target() {
+    let mesh = mesh();
+    let entry = mesh.callers(0);
+    let head = "POST /order/x HTTP/1.1\r\nhost: soak.example\r\nbronzeport-request-id: b-1\r\n";
+    let cases = [
+        ("garbage\r\n\r\n".to_owned(), "400"),
+        (format!("{head}content-length: 3\r\ncontent-length: 5\r\n\r\nabcde"), "400"),
+        (format!("{head}bronzeport-deadline-ms: soon\r\ncontent-length: 0\r\n\r\n"), "400"),
+        (format!("{head}transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"), "400"),
+        (format!("{head}x: {}\r\n\r\n", "y".repeat(400_000)), "431"),
+        ("POST /order/x HTTP/1.1\r\nhost: soak.example\r\ncontent-length: 0\r\n\r\n".into(), "400"),
+    ];
+    for (bytes, status) in cases {
+        let seen = raw(entry, bytes.as_bytes());
+        let first = seen.lines().next().unwrap_or_default();
+        assert!(first.contains(status), "{first} instead of {status}");
+    }
+    // A length beside chunks: the chunks count, and what follows is no request.
+    let both = format!(
+        "{head}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n\
+         POST /order/smuggled HTTP/1.1\r\nhost: soak.example\r\n\r\n"
+    );
+    let seen = raw(entry, both.as_bytes());
+    assert!(!seen.contains("smuggled"), "{seen}");
+    let runs = lines(&mesh, "run ");
+    assert!(runs.iter().all(|line| line.contains(" b-1 ")), "{runs:?}");
+    assert!(runs.len() <= 1, "{runs:?}");
+    assert_eq!(call(entry, "GET", "/read/x", "r-1", 700).status, 200, "it serves on");
+}
+
+#[test]
+fn forged_notices_change_nothing() {
+    let mesh = mesh();
+    let text = r#"{"address":"10.0.0.9:1","info":{"service":9},"status":{}}"#;
+    for body in [text, "", "{", "[]"] {
+        let post = format!(
+            "POST /api/Instances.Heartbeat/forged HTTP/1.1\r\nhost: x\r\n\
+             content-length: {}\r\nconnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        assert!(raw(mesh.announce(0), post.as_bytes()).starts_with("HTTP/1.1 400"));
+    }
+    let seen = call(mesh.callers(0), "GET", "/read/x", "r-1", 700);
+    assert_eq!(seen.status, 200, "{}", seen.body);
+}
+
+#[test]
+fn a_stopping_daemon_answers_what_it_has_read_and_two_signals_cut_nothing() {
+    let mut mesh = mesh();
+    let entry = mesh.callers(1);
+    let call = std::thread::spawn(move || call(entry, "GET", "/slow/x", "s-1", 4000));
+    std::thread::sleep(Duration::from_millis(300));
+    mesh.signal_daemon(1, "TERM");
+    assert!(raw(mesh.ready(1), b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").contains(" 503 "));
+    std::thread::sleep(Duration::from_millis(300));
+    mesh.signal_daemon(1, "TERM");
+    let seen = call.join().expect("the caller gets an answer");
+    assert_eq!(seen.status, 200, "{}", seen.body);
+    let waited = std::cell::RefCell::new(&mut mesh);
+    wait_until(LIMIT, || waited.borrow_mut().has_ended(1)).expect("it ends");
+}
+
+/// The lines of all daemons about an id, by the operators' own command.
+fn explain(mesh: &Mesh, id: &str) -> String {
+    // Lines are gathered for 100 ms before they are written.
+    std::thread::sleep(Duration::from_millis(300));
+    let lines = (0..HOSTS).flat_map(|host| mesh.daemon_lines(host));
+    let parsed = lines.filter_map(|line| cli::logs::parse(&line));
+    let about = parsed.filter(|(found, _)| **found == *id).map(|(_, line)| line);
+    let texts = cli::logs::order(about.collect()).into_iter().map(|line| line.text());
+    texts.collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn a_request_refused_in_overload_is_explained_by_its_id() {
+    let mesh = mesh();
+    let entry = mesh.callers(0);
+    for host in [0, 2, 4] {
+        mesh.tell_target(host, &json!({ "pace": 40.0 }));
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    let calls: Vec<_> = (0..80)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let id = format!("o-{number}");
+                (call(entry, "POST", &format!("/order/{number}"), &id, 900), id)
+            })
+        })
+        .collect();
+    let seen: Vec<_> = calls.into_iter().map(|call| call.join().expect("it ends")).collect();
+    let refused = seen.iter().find(|(seen, _)| seen.status == 503).expect("not all fit");
+    assert!(refused.0.retry_after.is_some());
+    let text = explain(&mesh, &refused.1);
+    assert!(text.contains(" refused ") && text.contains("in_flight="), "{text}");
+    assert!(text.contains(" ended ") && text.contains("status=503"), "{text}");
+}
+
+#[test]
+fn an_unknown_outcome_after_a_lost_daemon_is_explained_by_its_id() {
+    let mut mesh = mesh();
+    for host in [2, 4] {
+        mesh.tell_target(host, &json!({ "leave": true }));
+    }
+    mesh.tell_target(0, &json!({ "pace": 40.0 }));
+    std::thread::sleep(Duration::from_millis(1200));
+    let entry = mesh.callers(1);
+    let order = std::thread::spawn(move || call(entry, "POST", "/order/x", "o-x", 4000));
+    std::thread::sleep(Duration::from_millis(300));
+    mesh.kill_daemon(0);
+    let seen = order.join().expect("the caller gets an answer");
+    assert_eq!(seen.status, 502, "{}", seen.body);
+    assert!(seen.took < Duration::from_secs(2), "at once, not at the deadline");
+    let text = explain(&mesh, "o-x");
+    assert!(text.contains(" failed ") && text.contains("reason=cut"), "{text}");
+    assert!(text.contains("outcome=unknown"), "{text}");
+}
+
+#[test]
+fn a_late_answer_behind_a_slow_target_is_explained_by_its_id() {
+    let mesh = mesh();
+    for host in [0, 2, 4] {
+        mesh.tell_target(host, &json!({ "pace": 20.0 }));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let seen = call(mesh.callers(1), "POST", "/order/x", "o-x", 4000);
+    assert_eq!(seen.status, 200, "{}", seen.body);
+    let text = explain(&mesh, "o-x");
+    assert!(text.contains("is_late=true") && text.contains("pace=2000"), "{text}");
+    assert!(text.contains(" ran ") && text.contains("service_ms="), "{text}");
+}
