--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -4,6 +4,7 @@
 //! that are held back. Each request that runs is a task of its own, which ends
 //! the connection to the target when it is dropped.
 
+mod belief;
 mod copies;
 mod job;
 mod task;
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -5,31 +5,24 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use admit::{Change, Class, End, Gate, Holds, Next, Refusal, Standing, Ticket, Verdict, WARM_STEP};
+use admit::{Class, End, Gate, Holds, Next, Refusal, Standing, Ticket, Verdict};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use once::{Ledger, Lookup};
-use route::{Load, Node, USUAL_PACE, Works, guess_work, pace_factor};
+use route::{Load, Node, Works, pace_factor};
 use wire::{Answer, Outcome, Reason, Request};
 
 use super::job::{Job, Stage};
-use super::{Ask, Due, Heard, REPORT_AGE, Status, WATCH_EVERY};
+use super::{Ask, Heard, Status};
 use crate::claims::Claims;
-use crate::edge::{Announcement, Edge, Fate, Identity, Notice, TargetAnswer};
-use crate::journal::{self, Event, Inside};
-use crate::target::{Look, Run, Target};
+use crate::edge::{Edge, Fate, TargetAnswer};
+use crate::journal::{self, Event};
+use crate::target::{Run, Target};
 use crate::{membership, names};
 
 /// Share of its slots up to which a target that sheds is not taken to be full.
 const FULL_SHARE: f64 = 0.8;
 /// When to come back to a target that is down.
 pub(super) const DOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Time between two looks at a target without a health page that is there.
-const OPEN_LOOK_EVERY: Duration = Duration::from_secs(1);
-/// Factor by which the pace changes before other daemons are told at once.
-const PACE_NEWS_FACTOR: f64 = 1.4;
-/// Pace above which a request that may go elsewhere does so when it would miss
-/// its aim here, in percent.
-const SLOW_PACE: u16 = 150;
 
 /// The guard's task and what it owns.
 pub(super) struct Task {
@@ -115,48 +108,6 @@
         self.journal.send(journal::Ask::Note { id, event });
     }
 
-    fn load(&self) -> Load {
-        let number = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
-        Load {
-            in_flight: number(self.gate.in_flight()),
-            queued: number(self.gate.queued() - self.gate.patient()),
-            patient: number(self.gate.patient()),
-            slots: self.gate.slots(),
-            service: self.gate.service(),
-            leaving: self.gate.is_leaving(),
-            pace: self.report.map_or(0, |report| report.pace),
-        }
-    }
-
-    /// Tells other daemons at once of a pace that has changed much, and of a
-    /// target that has begun or ceased to take work.
-    fn tell_load(&mut self) {
-        let load = self.load();
-        let change = pace_factor(load.pace) / pace_factor(self.told.pace);
-        let has_changed = !(1.0 / PACE_NEWS_FACTOR..PACE_NEWS_FACTOR).contains(&change)
-            || load.leaving != self.told.leaving;
-        if !has_changed || self.target.is_none() {
-            return;
-        }
-        self.told = load;
-        let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
-        membership.send(membership::Ask::Load(load));
-    }
-
-    /// The state here as log lines tell it.
-    pub(super) fn inside(&self) -> Inside {
-        let load = self.load();
-        Inside {
-            in_flight: load.in_flight,
-            queued: load.queued,
-            slots: load.slots,
-            pace: load.pace,
-            report_age_ms: self
-                .report
-                .map_or(0, |report| (self.now() - report.at).as_millis() as u64),
-        }
-    }
-
     pub(super) fn refusal(
         &self,
         outcome: Outcome,
@@ -243,28 +194,6 @@
         }
     }
 
-    /// Whether the target is so slow now that the answer would come too late to
-    /// be of full use.
-    fn misses_aim(&self, request: &Request) -> bool {
-        let pace = self.report.map_or(USUAL_PACE, |report| report.pace);
-        let expected = self.expected(request);
-        pace > SLOW_PACE && expected.is_some_and(|expected| expected > request.aim)
-    }
-
-    /// Time that a request takes at the target's present pace, where both are
-    /// known.
-    fn expected(&self, request: &Request) -> Option<Duration> {
-        let pace = self.report.map_or(0, |report| report.pace);
-        Some(self.usual(request)?.mul_f64(pace_factor(pace)))
-    }
-
-    /// Time that a request takes at the usual pace, where the target tells its
-    /// pace.
-    fn usual(&self, request: &Request) -> Option<Duration> {
-        let _paced = self.report.filter(|report| report.pace > 0)?;
-        Some(self.works.usual(&request.kind).unwrap_or(guess_work(request.aim)))
-    }
-
     fn arrive_at_gate(&mut self, now: Instant, arrival: admit::Request, job: Job) {
         let ticket = arrival.ticket;
         let id = job.request.id.clone();
@@ -395,33 +324,6 @@
         }
     }
 
-    fn observe_report(&mut self, now: Instant, answer: &TargetAnswer) {
-        if let Some(report) = answer.report {
-            let pace = report.pace.unwrap_or(0);
-            if pace > 0 && self.report.is_none() {
-                // A target that tells its pace tells with it how cold it is.
-                self.gate.open();
-            }
-            self.report = Some(Heard { pace, at: now });
-            self.gate.observe_pace(pace_factor(pace));
-        }
-    }
-
-    /// Refuses what waits. One with a claim waits on: giving the claim back takes
-    /// longer than it has.
-    fn refuse_waiting(&mut self, reason: Reason) {
-        let is_free = |(_, job): &(&Ticket, &Job)| job.stage == Stage::Waiting && !job.is_claimed();
-        let waiting: Vec<Ticket> =
-            self.jobs.iter().filter(is_free).map(|(ticket, _)| *ticket).collect();
-        for ticket in waiting {
-            self.gate.withdraw(ticket);
-            if let Some(job) = self.jobs.remove(&ticket) {
-                let after = self.gate.retry_after();
-                self.refuse(job, reason, after);
-            }
-        }
-    }
-
     fn answer_of(&self, answer: TargetAnswer, service: Duration) -> Answer {
         let reason = match answer.fate {
             Fate::Shed => Reason::TargetShed,
@@ -479,165 +381,6 @@
         membership.send(membership::Ask::Spread(holds));
     }
 
-    /// The target, if a look at it is due.
-    fn due_look(&mut self) -> Option<Due> {
-        let now = self.now();
-        let load = self.load();
-        metrics::gauge!("bronzeport_guard_running").set(f64::from(load.in_flight));
-        metrics::gauge!("bronzeport_guard_waiting").set(f64::from(load.queued));
-        metrics::gauge!("bronzeport_guard_slots").set(f64::from(load.slots));
-        metrics::gauge!("bronzeport_target_pace_percent").set(f64::from(load.pace));
-        let health_path = self.health_paths.get(&**self.service.borrow()).cloned();
-        let every = match (self.is_reachable, &health_path) {
-            (true, None) => OPEN_LOOK_EVERY,
-            (true, Some(_)) => Duration::ZERO,
-            (false, _) => WATCH_EVERY,
-        };
-        let has_waited = self.looked_at.is_none_or(|at| now - at >= every);
-        let is_fresh = self.report.is_some_and(|report| now - report.at < REPORT_AGE);
-        if !has_waited || (is_fresh && self.is_reachable) {
-            return None;
-        }
-        self.looked_at = Some(now);
-        Some(Due { target: self.target.clone()?, health_path })
-    }
-
-    fn looked(&mut self, instance: &str, look: Look) {
-        let is_current =
-            self.target.as_ref().is_some_and(|target| *target.identity().instance == *instance);
-        if !is_current {
-            return;
-        }
-        match look {
-            Look::Open => self.reachable(self.standing.is_none()),
-            Look::Unreachable => self.reachable(false),
-            Look::Silent => {}
-            Look::Seen(answer) => self.seen(answer),
-        }
-    }
-
-    /// The health page has answered. It may lie, so that a start that has
-    /// announced itself stays in use; before that the page is all that is known.
-    fn seen(&mut self, answer: TargetAnswer) {
-        let now = self.now();
-        self.observe_report(now, &answer);
-        let (Some(standing), Some(target)) = (&mut self.standing, &self.target) else {
-            return;
-        };
-        let found = answer.instance.zip(answer.report);
-        if let Some((instance, report)) = found.filter(|_| answer.status == 200) {
-            let guess = Announcement {
-                instance,
-                service: self.service.borrow().clone(),
-                address: target.identity().address,
-                slots: report.slots.max(1),
-                is_leaving: false,
-                started: 0,
-                sequence: 0,
-                cold_for: Duration::ZERO,
-            };
-            if standing.guess(guess) == Change::Started {
-                self.started();
-            }
-        }
-        if self.standing.as_ref().is_some_and(Standing::takes_work) {
-            self.reachable(true);
-        }
-    }
-
-    /// Takes in what the target says of itself.
-    fn notice(&mut self, notice: Notice) {
-        let Some(standing) = &mut self.standing else {
-            return;
-        };
-        let change = standing.hear(notice);
-        match change {
-            Change::Started => self.started(),
-            Change::Leaving => self.leaving(),
-            Change::Confirmed => self.reachable(true),
-            Change::Stale => metrics::counter!("bronzeport_stale_notices_total").increment(1),
-        }
-    }
-
-    /// A start of the target is served that was not known.
-    fn started(&mut self) {
-        let Some(current) = self.standing.as_ref().and_then(Standing::current).cloned() else {
-            return;
-        };
-        log::info!(
-            "the target {} of {} at {} is served",
-            current.instance,
-            current.service,
-            current.address
-        );
-        let identity = Identity { instance: current.instance, address: current.address };
-        self.target = Some(Target::new(&self.kernel, self.edge, identity, current.slots));
-        self.report = None;
-        self.gate.reopen(current.slots, !current.cold_for.is_zero());
-        let has_changed = **self.service.borrow() != *current.service;
-        if has_changed {
-            *self.service.borrow_mut() = current.service.clone();
-        }
-        let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
-        let (service, slots) = (current.service, current.slots);
-        membership.send(membership::Ask::Serve { service, slots });
-        self.is_reachable = false;
-        self.reachable(true);
-    }
-
-    /// The target takes no new work. What waits goes elsewhere.
-    fn leaving(&mut self) {
-        if self.gate.is_leaving() {
-            return;
-        }
-        log::info!("the target is leaving");
-        self.gate.leave();
-        self.refuse_waiting(Reason::Leaving);
-    }
-
-    /// The address belongs to another target: it is looked at before any more
-    /// is sent there.
-    fn moved(&mut self) {
-        let instance = self.target.as_ref().map(|target| target.identity().instance.clone());
-        if let (Some(standing), Some(instance)) = (&mut self.standing, instance)
-            && standing.forget(&instance)
-        {
-            log::warn!("the target {instance} is not at its address any more");
-            self.reachable(false);
-        }
-    }
-
-    fn reachable(&mut self, is_reachable: bool) {
-        if is_reachable == self.is_reachable {
-            return;
-        }
-        self.is_reachable = is_reachable;
-        match is_reachable {
-            true => {
-                log::info!("the target takes connections");
-                self.crash.clear();
-                if self.standing.is_none() {
-                    self.gate.restart();
-                }
-                self.start_warm_up();
-            }
-            false => log::warn!("the target takes no connections"),
-        }
-    }
-
-    /// Looks at what waits whenever the target may have one more slot, also when
-    /// no request ends or arrives meanwhile.
-    fn start_warm_up(&self) {
-        let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
-        let steps = self.gate.stated_slots();
-        self.kernel.start(async move {
-            for _ in 0..steps {
-                clock.sleep(WARM_STEP).await;
-                mailbox.send(Ask::WarmUp);
-            }
-        });
-    }
-
     fn cancel(&mut self, ticket: Ticket) {
         let Some(job) = self.jobs.get_mut(&ticket) else {
             self.leave_joined(ticket, None);
