--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -85,7 +85,7 @@
     /// Time that a request takes at the usual pace, where the target tells its
     /// pace.
     pub(super) fn usual(&self, request: &Request) -> Option<Duration> {
-        let _paced = self.report.filter(|report| report.pace > 0)?;
+        self.report.filter(|report| report.pace > 0)?;
         Some(self.works.usual(&request.kind).unwrap_or(guess_work(request.aim)))
     }
 
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -171,6 +171,11 @@
         waited.map(drop).ok_or_else(|| "the daemons are not ready in time".into())
     }
 
+    /// Address of the store.
+    pub fn store(&self) -> SocketAddr {
+        self.store
+    }
+
     /// Address of a host's daemon for callers.
     pub fn callers(&self, host: usize) -> SocketAddr {
         self.hosts[host].callers
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -2,9 +2,10 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use lab::fleet::wait_until;
+use lab::fleet::{free_address, wait_for, wait_until};
 use lab::soak::host::Mesh;
 use serde_json::json;
 
@@ -104,7 +105,7 @@
     }
     mesh.set_store(&json!({ "silent": true }));
     mesh.start_daemon(0).expect("it starts");
-    lab::fleet::wait_for(mesh.callers(0)).expect("it listens");
+    wait_for(mesh.callers(0)).expect("it listens");
     let seen = call(mesh.callers(0), "GET", "/none/x", "n-1", 700);
     assert_eq!(seen.status, 503, "{}", seen.body);
     assert!(raw(mesh.ready(0), b"GET /api/readyz HTTP/1.1\r\nhost: x\r\n\r\n").contains(" 503 "));
@@ -288,3 +289,67 @@
     assert!(text.contains("is_late=true") && text.contains("pace=2000"), "{text}");
     assert!(text.contains(" ran ") && text.contains("service_ms="), "{text}");
 }
+
+/// Sends orders that cannot be in time, each of which has lines of its own.
+fn send_hopeless(entry: SocketAddr, count: usize) {
+    let senders = (0..8).map(|sender| {
+        std::thread::spawn(move || {
+            for number in 0..count / 8 {
+                let id = format!("h-{sender}-{number}");
+                call(entry, "POST", &format!("/order/{id}"), &id, 1);
+            }
+        })
+    });
+    for sender in senders.collect::<Vec<_>>() {
+        sender.join().expect("each call is answered");
+    }
+}
+
+#[test]
+fn lines_about_requests_stay_bounded_however_many_go_badly() {
+    let mesh = mesh();
+    let _before = mesh.daemon_lines(0);
+    let started = Instant::now();
+    send_hopeless(mesh.callers(0), 2000);
+    std::thread::sleep(Duration::from_millis(300));
+    let lines = mesh.daemon_lines(0);
+    let about = lines.iter().filter(|line| cli::logs::parse(line).is_some()).count() as f64;
+    let allowed = 240.0 + 60.0 * (started.elapsed().as_secs_f64() + 1.0);
+    assert!(about > 100.0 && about <= allowed, "{about} lines, {allowed} are allowed");
+}
+
+#[test]
+fn standard_output_that_nobody_reads_delays_no_request() {
+    let mesh = mesh();
+    let [callers, peers, admin] = std::array::from_fn(|_| free_address());
+    let flags = [
+        ("--interface", "platform".to_owned()),
+        ("--listen", callers.to_string()),
+        ("--peer-listen", peers.to_string()),
+        ("--admin", admin.to_string()),
+        ("--data-centre", "zone-0".into()),
+        ("--platform", mesh.store().to_string()),
+    ];
+    let flags = flags.iter().flat_map(|(flag, value)| [*flag, &**value]);
+    let mut daemon = Command::new(env!("CARGO_BIN_EXE_lab"))
+        .arg("daemon")
+        .args(flags)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    wait_for(callers).expect("it listens");
+    let is_up = || call(callers, "GET", "/read/x", "up", 900).status == 200;
+    wait_until(LIMIT, is_up).expect("it finds the others");
+    // A pipe holds 64 KiB; these write more.
+    for _ in 0..4 {
+        send_hopeless(callers, 400);
+        std::thread::sleep(Duration::from_millis(1000));
+    }
+    for number in 0..20 {
+        let seen = call(callers, "GET", &format!("/read/{number}"), &format!("r-{number}"), 900);
+        assert_eq!(seen.status, 200, "{}", seen.body);
+    }
+    daemon.kill().expect("it is ours");
+    daemon.wait().expect("it has ended");
+}
