A target whose health page is not known stays in use

Cause: read in review: without a health path a look that finds the target's port open took it out of use each second, until its next heartbeat. Change: an open port confirms a target that takes work.

--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -146,7 +146,10 @@
             return;
         }
         match look {
-            Look::Open => self.reachable(self.standing.is_none()),
+            Look::Open if self.standing.as_ref().is_none_or(Standing::takes_work) => {
+                self.reachable(true);
+            }
+            Look::Open => {}
             Look::Unreachable => self.reachable(false),
             Look::Silent => {}
             Look::Seen(answer) => self.seen(answer),
@@ -211,10 +214,7 @@
         self.target = Some(Target::new(&self.kernel, self.edge, identity, current.slots));
         self.report = None;
         self.gate.reopen(current.slots, !current.cold_for.is_zero());
-        let has_changed = **self.service.borrow() != *current.service;
-        if has_changed {
-            *self.service.borrow_mut() = current.service.clone();
-        }
+        *self.service.borrow_mut() = current.service.clone();
         let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
         let (service, slots) = (current.service, current.slots);
         membership.send(membership::Ask::Serve { service, slots });
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use lab::fleet::{free_address, wait_for, wait_until};
+use lab::fleet::{free_address, wait_for, wait_until, with_store};
 use lab::soak::host::Mesh;
 use serde_json::json;
 
@@ -353,3 +353,31 @@
     daemon.kill().expect("it is ours");
     daemon.wait().expect("it has ended");
 }
+
+#[test]
+fn a_target_whose_health_page_is_not_known_stays_in_use() {
+    let mesh = mesh();
+    let path = json!({
+        "name": "r", "prefix": "/read/", "kind": "safe", "timeout": "5s",
+        "service": "desk", "max_attempts": 2,
+    });
+    let config = json!({
+        "version": 1000,
+        "services": [],
+        "virtual_hosts": [{ "hostname": "soak.example", "paths": [path] }],
+    });
+    let write = store::Write {
+        key: "op/config".into(),
+        condition: store::Condition::Always,
+        value: config.to_string().into(),
+    };
+    with_store(mesh.store(), async |store| store.commit(vec![write]).await);
+    let is_new = || call(mesh.callers(0), "GET", "/slow/x", "gone", 500).status == 404;
+    wait_until(LIMIT, is_new).expect("the configuration is in force");
+    let _before = mesh.daemon_lines(0);
+    std::thread::sleep(Duration::from_millis(3500));
+    let lines = mesh.daemon_lines(0);
+    let lost = lines.iter().filter(|line| line.contains("takes no connections"));
+    assert_eq!(lost.count(), 0, "{lines:?}");
+    assert_eq!(call(mesh.callers(1), "GET", "/read/x", "r-1", 900).status, 200);
+}
