--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -133,8 +133,7 @@
             return Verdict::Refuse(Refusal::Leaving);
         }
         self.limit.warm_up(now);
-        let present = self.present(now);
-        let fits = present.pace <= 1.0 || now + present.needed(request.work) <= request.deadline;
+        let fits = self.present(now).fits(request.work, request.deadline);
         if self.has_free_slot() && self.queue.len() == 0 && fits {
             self.running.insert(request.ticket);
             return Verdict::Start;
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -62,6 +62,12 @@
         self.needed_at(work, self.pace)
     }
 
+    /// Whether a request may start now: at a pace slower than usual, one that
+    /// could not end before its deadline may not.
+    pub(crate) fn fits(&self, work: Option<Duration>, deadline: Instant) -> bool {
+        self.pace <= 1.0 || self.now + self.needed(work) <= deadline
+    }
+
     /// Time that a request needs if the target is at its usual pace by then.
     pub(crate) fn needed_at_best(&self, work: Option<Duration>) -> Duration {
         self.needed_at(work, self.pace.min(1.0))
@@ -95,9 +101,7 @@
     /// when it must start within the margin to be in time. One that could not end
     /// at the present pace waits for a better one.
     pub(crate) fn pop(&mut self, present: &Present) -> Option<Waiting> {
-        let fits = |waiting: &Waiting| {
-            present.pace <= 1.0 || present.now + present.needed(waiting.work) <= waiting.deadline
-        };
+        let fits = |waiting: &Waiting| present.fits(waiting.work, waiting.deadline);
         let keyed = self.waiting.iter().enumerate().filter(|(_, waiting)| fits(waiting));
         let first = keyed.min_by_key(|(_, waiting)| key_of(waiting, present))?.0;
         Some(self.waiting.swap_remove(first))
--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -5,7 +5,7 @@
 
 use admit::{Announcement, Change, Notice, Standing, Ticket, WARM_STEP};
 use kernel::Mailbox;
-use route::{Load, USUAL_PACE, guess_work, pace_factor};
+use route::{Load, guess_work, pace_factor};
 use wire::{Reason, Request};
 
 use super::job::{Job, Stage};
@@ -34,10 +34,15 @@
             slots: self.gate.slots(),
             service: self.gate.service(),
             leaving: self.gate.is_leaving(),
-            pace: self.report.map_or(0, |report| report.pace),
+            pace: self.pace(),
         }
     }
 
+    /// The pace that the target has last told, in percent; 0 if none.
+    pub(super) fn pace(&self) -> u16 {
+        self.report.map_or(0, |report| report.pace)
+    }
+
     /// Tells other daemons at once of a pace that has changed much, and of a
     /// target that has begun or ceased to take work.
     pub(super) fn tell_load(&mut self) {
@@ -70,23 +75,21 @@
     /// Whether the target is so slow now that the answer would come too late to
     /// be of full use.
     pub(super) fn misses_aim(&self, request: &Request) -> bool {
-        let pace = self.report.map_or(USUAL_PACE, |report| report.pace);
         let expected = self.expected(request);
-        pace > SLOW_PACE && expected.is_some_and(|expected| expected > request.aim)
+        self.pace() > SLOW_PACE && expected.is_some_and(|expected| expected > request.aim)
     }
 
     /// Time that a request takes at the target's present pace, where both are
     /// known.
     pub(super) fn expected(&self, request: &Request) -> Option<Duration> {
-        let pace = self.report.map_or(0, |report| report.pace);
-        Some(self.usual(request)?.mul_f64(pace_factor(pace)))
+        Some(self.usual(request)?.mul_f64(pace_factor(self.pace())))
     }
 
     /// Time that a request takes at the usual pace, where the target tells its
     /// pace.
     pub(super) fn usual(&self, request: &Request) -> Option<Duration> {
-        self.report.filter(|report| report.pace > 0)?;
-        Some(self.works.usual(&request.kind).unwrap_or(guess_work(request.aim)))
+        let tells_pace = self.pace() > 0;
+        tells_pace.then(|| self.works.usual(&request.kind).unwrap_or(guess_work(request.aim)))
     }
 
     pub(super) fn observe_report(&mut self, now: Instant, answer: &TargetAnswer) {
@@ -109,10 +112,15 @@
             self.jobs.iter().filter(is_free).map(|(ticket, _)| *ticket).collect();
         for ticket in waiting {
             self.gate.withdraw(ticket);
-            if let Some(job) = self.jobs.remove(&ticket) {
-                let after = self.gate.retry_after();
-                self.refuse(job, reason, after);
-            }
+            self.refuse_withdrawn(ticket, reason);
+        }
+    }
+
+    /// Refuses a request that the gate has just let go of.
+    pub(super) fn refuse_withdrawn(&mut self, ticket: Ticket, reason: Reason) {
+        if let Some(job) = self.jobs.remove(&ticket) {
+            let after = self.gate.retry_after();
+            self.refuse(job, reason, after);
         }
     }
 
--- a/crates/daemon/src/guard/job.rs
+++ b/crates/daemon/src/guard/job.rs
@@ -34,6 +34,11 @@
 }
 
 impl Job {
+    /// Whether a row in the store decides which copy of the request runs.
+    pub(super) fn is_for_claim(&self) -> bool {
+        !self.request.repeatable && !self.request.once
+    }
+
     pub(super) fn is_claimed(&self) -> bool {
         !self.claim_tag.is_empty()
     }
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -143,9 +143,9 @@
             request: Rc::new(request),
             _work: None,
         };
-        match job.request.repeatable || job.request.once {
-            true => self.admit(ticket, job),
-            false => self.arrive_once(ticket, job),
+        match job.is_for_claim() {
+            true => self.arrive_once(ticket, job),
+            false => self.admit(ticket, job),
         }
     }
 
@@ -224,25 +224,20 @@
             match self.gate.next(now) {
                 Next::Idle => return,
                 Next::Start(ticket) => self.start_run(ticket),
-                Next::Expire(ticket) => {
-                    if let Some(job) = self.jobs.remove(&ticket) {
-                        let after = self.gate.retry_after();
-                        self.refuse(job, Reason::Late, after);
-                    }
-                }
+                Next::Expire(ticket) => self.refuse_withdrawn(ticket, Reason::Late),
             }
         }
     }
 
     /// Starts the work of a request that the gate let through.
     fn start_run(&mut self, ticket: Ticket) {
-        let now = self.now();
+        let (now, pace) = (self.now(), self.pace());
         let (Some(job), Some(target)) = (self.jobs.get_mut(&ticket), self.target.clone()) else {
             self.gate.finish(now, ticket, End::Broken);
             return;
         };
         job.stage = Stage::Running;
-        job.pace = self.report.map_or(0, |report| report.pace);
+        job.pace = pace;
         job.running = self.gate.in_flight();
         let (request, deadline) = (job.request.clone(), job.deadline);
         let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
@@ -309,7 +304,7 @@
             }
             Fate::Shed | Fate::Ran => {
                 self.holds.observe_answer(now, job.request.fingerprint);
-                let pace = self.report.map_or(0, |report| report.pace);
+                let pace = self.pace();
                 if pace == job.pace && answer.status < 500 {
                     let kind = &job.request.kind;
                     if let Some(usual) = self.works.usual(kind) {
@@ -351,7 +346,7 @@
         self.note(&request.id, ran);
         metrics::counter!("bronzeport_guard_ran_total", "outcome" => journal::outcome_text(outcome))
             .increment(1);
-        if !request.repeatable && !request.once {
+        if job.is_for_claim() {
             let now = self.now();
             self.ledger.end(now, &request.id, answer.clone(), answer.body.len() + 512);
             self.answer_joined(&request.id, &answer);
@@ -386,8 +381,7 @@
             self.leave_joined(ticket, None);
             return;
         };
-        let is_kept = !job.request.repeatable && !job.request.once;
-        if is_kept || (job.request.once && job.stage == Stage::Running) {
+        if job.is_for_claim() || (job.request.once && job.stage == Stage::Running) {
             // It goes on: its outcome is kept for the caller's next copy.
             job.reply = None;
             return;
@@ -409,10 +403,7 @@
         match stage {
             Some(Stage::Waiting) => {
                 self.gate.withdraw(ticket);
-                if let Some(job) = self.jobs.remove(&ticket) {
-                    let after = self.gate.retry_after();
-                    self.refuse(job, Reason::Late, after);
-                }
+                self.refuse_withdrawn(ticket, Reason::Late);
             }
             Some(Stage::Claiming | Stage::Running) => {}
             None => {
