Daemon: one rule for readiness, one way to read the store, one reading of the clock

The readiness rule stood in three files, the answer to a read of the store four times, the milliseconds since 1970 twice. Behaviour is as before.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -169,7 +169,7 @@
 
     async fn ready(&self) -> Content {
         let state = self.configuration().ask(|reply| configuration::Ask::State { reply }).await;
-        let is_ready = state.is_some_and(|state| state.is_ready && state.revision > 0);
+        let is_ready = state.is_some_and(|state| state.can_judge());
         Content { status: if is_ready { 200 } else { 503 }, body: json!({ "ready": is_ready }) }
     }
 
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -100,6 +100,14 @@
     pub(crate) is_ready: bool,
 }
 
+impl State {
+    /// Whether calls can be judged: a configuration is in force, and whoever may
+    /// know a newer one has been asked.
+    pub(crate) fn can_judge(&self) -> bool {
+        self.is_ready && self.revision > 0
+    }
+}
+
 /// Starts the service.
 pub(crate) fn start(kernel: &Kernel, edge: Edge, first_peers: &[SocketAddr]) {
     let inbox = kernel.register(names::CONFIGURATION);
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -216,7 +216,7 @@
     async fn unknown(&self, reason: Reason, name: &str) -> Refused {
         let state = self.configuration.ask(|reply| configuration::Ask::State { reply }).await;
         match state {
-            Some(state) if state.is_ready && state.revision > 0 => {
+            Some(state) if state.can_judge() => {
                 refused(reason, format!("nothing is known of {name}"))
             }
             _ => refused(Reason::NotReady, "this daemon has no configuration yet"),
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -154,7 +154,8 @@
     once::fingerprint("", "", id, b"").is_multiple_of(SAMPLE)
 }
 
-fn millis_of(at: SystemTime) -> u64 {
+/// Milliseconds since 1970.
+pub(crate) fn millis_of(at: SystemTime) -> u64 {
     at.duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -6,14 +6,14 @@
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 use log::{Level, Record};
 use route::Node;
 use serde::Serialize;
 use serde_json::json;
 
-use crate::journal::Event;
+use crate::journal::{Event, millis_of};
 use crate::settings::Settings;
 
 /// Lines that wait to be written, at most.
@@ -65,9 +65,8 @@
         Level::Info => "info",
         Level::Debug | Level::Trace => "debug",
     };
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let line = json!({
-        "time_ms": since.as_millis() as u64,
+        "time_ms": millis_of(SystemTime::now()),
         "level": level,
         "from": record.target(),
         "text": record.args().to_string(),
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -76,30 +76,21 @@
     fn take(&mut self, ask: Ask) {
         let now = self.kernel.clock().now();
         match ask {
-            Ask::Read { key, reply } => match self.reading(now) {
-                Ok(store) => self.kernel.start(async move {
-                    reply.send(counted("read", store.read(&key).await));
-                }),
-                Err(failure) => drop(reply.send(Err(failure))),
-            },
-            Ask::List { prefix, after, limit, reply } => match self.reading(now) {
-                Ok(store) => self.kernel.start(async move {
-                    reply.send(counted("list", store.list(&prefix, &after, limit).await));
-                }),
-                Err(failure) => drop(reply.send(Err(failure))),
-            },
-            Ask::Table { table, limit, reply } => match self.reading(now) {
-                Ok(store) => self.kernel.start(async move {
-                    reply.send(counted("table", store.read_table(&table, limit).await));
-                }),
-                Err(failure) => drop(reply.send(Err(failure))),
-            },
-            Ask::Feed { table, after, wait, reply } => match self.reading(now) {
-                Ok(store) => self.kernel.start(async move {
-                    reply.send(counted("feed", store.feed(&table, after, wait).await));
-                }),
-                Err(failure) => drop(reply.send(Err(failure))),
-            },
+            Ask::Read { key, reply } => {
+                self.read(now, "read", reply, async move |store: Store| store.read(&key).await);
+            }
+            Ask::List { prefix, after, limit, reply } => {
+                let work = async move |store: Store| store.list(&prefix, &after, limit).await;
+                self.read(now, "list", reply, work);
+            }
+            Ask::Table { table, limit, reply } => {
+                let work = async move |store: Store| store.read_table(&table, limit).await;
+                self.read(now, "table", reply, work);
+            }
+            Ask::Feed { table, after, wait, reply } => {
+                let work = async move |store: Store| store.feed(&table, after, wait).await;
+                self.read(now, "feed", reply, work);
+            }
             Ask::Commit { write, reply } => self.commit(now, write, reply),
             Ask::Committed => {
                 self.is_committing = false;
@@ -115,6 +106,22 @@
         }
     }
 
+    /// Answers with what `work` reads, or why it may not read now.
+    fn read<T: 'static>(
+        &mut self,
+        now: Instant,
+        kind: &'static str,
+        reply: Reply<Result<T, Failure>>,
+        work: impl AsyncFnOnce(Store) -> Result<T, Failure> + 'static,
+    ) {
+        match self.reading(now) {
+            Ok(store) => self.kernel.start(async move {
+                reply.send(counted(kind, work(store).await));
+            }),
+            Err(failure) => drop(reply.send(Err(failure))),
+        }
+    }
+
     fn reading(&mut self, now: Instant) -> Result<Store, Failure> {
         let store = self.store.clone().ok_or(Failure::Down)?;
         if !self.reads.spend(now) {
--- a/crates/daemon/src/surroundings.rs
+++ b/crates/daemon/src/surroundings.rs
@@ -66,7 +66,7 @@
 async fn tell_ready(kernel: Kernel, is_leaving: bool) -> Response<Bytes> {
     let configuration: Mailbox<configuration::Ask> = kernel.service(names::CONFIGURATION);
     let state = configuration.ask(|reply| configuration::Ask::State { reply }).await;
-    let is_ready = state.is_some_and(|state| state.is_ready && state.revision > 0);
+    let is_ready = state.is_some_and(|state| state.can_judge());
     match is_ready && !is_leaving {
         true => answer(StatusCode::OK, "{\"ready\":true}"),
         false => answer(StatusCode::SERVICE_UNAVAILABLE, "{\"ready\":false}"),
