Configuration: the table of paths is read once for each change

The daemon read the whole text for its revision, and the book read it again to install it. Book::install_table does both from one reading; what is installed, refused and announced is as before.

--- a/crates/config/src/book.rs
+++ b/crates/config/src/book.rs
@@ -138,6 +138,22 @@
         Install::Installed(to)
     }
 
+    /// Reads and installs a table of paths, whose text tells its revision.
+    pub fn install_table(&mut self, body: Box<str>) -> Result<Install, Findings> {
+        let Some(read) = self.read_table else {
+            return Ok(Install::Invalid);
+        };
+        let table = read(&body)?;
+        let revision = table.revision;
+        if revision <= self.revision {
+            return Ok(Install::Stale);
+        }
+        let change = Change { revision, service: TABLE.into(), body };
+        self.put(Entry { change, content: Content::Table(Rc::new(table)) });
+        self.revision = revision;
+        Ok(Install::Installed(revision))
+    }
+
     fn put(&mut self, entry: Entry) {
         let name = &entry.change.service;
         let known = self.entries.get(name).map_or(0, |entry| entry.change.revision);
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -210,40 +210,37 @@
             return;
         }
         match self.book.install(changes.revision, changes.changes) {
-            Install::Installed(revision) => {
-                self.is_ready |= self.edge.read_table.is_some();
-                self.announce(revision);
-            }
+            Install::Installed(revision) => self.installed(revision),
             Install::Stale => {}
             Install::Invalid => {
                 log::warn!(
                     "revision {} does not pass the check and is not installed",
                     changes.revision
                 );
-                metrics::counter!("bronzeport_config_invalid_total").increment(1);
+                count_invalid();
             }
         }
     }
 
     /// Installs the table of paths, whose text tells its revision.
     fn install_table(&mut self, text: Box<str>) {
-        let Some(read) = self.edge.read_table else {
-            return;
-        };
-        match read(&text) {
-            Ok(table) => {
-                let revision = table.revision;
-                let change = Change { revision, service: "".into(), body: text };
-                self.install(0, Changes { revision, changes: vec![change] });
-                self.is_ready = true;
-            }
+        match self.book.install_table(text) {
+            Ok(Install::Installed(revision)) => self.installed(revision),
+            Ok(Install::Stale) => self.is_ready = true,
+            // There is no table on this daemon's interface.
+            Ok(Install::Invalid) => {}
             Err(findings) => {
                 log::warn!("the table of paths does not pass the check: {findings}");
-                metrics::counter!("bronzeport_config_invalid_total").increment(1);
+                count_invalid();
             }
         }
     }
 
+    fn installed(&mut self, revision: Revision) {
+        self.is_ready |= self.edge.read_table.is_some();
+        self.announce(revision);
+    }
+
     fn announce(&self, revision: Revision) {
         log::info!("configuration revision {revision} is in force");
         metrics::gauge!("bronzeport_config_revision").set(revision as f64);
@@ -273,6 +270,10 @@
     }
 }
 
+fn count_invalid() {
+    metrics::counter!("bronzeport_config_invalid_total").increment(1);
+}
+
 /// Asks peers and the table at the start, then reads the table now and then.
 async fn follow(kernel: Kernel, mailbox: Mailbox<Ask>, first_peers: Vec<Box<str>>) {
     for peer in first_peers.into_iter().take(FIRST_PEERS) {
