Route: what is expected of a call is worked out once for each attempt

Pool::begin worked out the pool's averages and the call's cost that Pool::expect had just worked out for the log line: twice a pass over all targets for each attempt. begin now gives both; values are the same. The two tests that call begin take its pair; their assertions stand.

--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -275,11 +275,12 @@
             let address = self.members.get(&node)?.0.address.clone();
             let hedges = self.policy == Policy::Bronzeport;
             let pool = self.pool(&service);
+            let (attempt, expected) = pool.begin(now, node, call);
             Some(Route {
                 node,
                 address,
-                belief: observe_belief(pool.expect(now, node, call)),
-                attempt: pool.begin(now, node, call),
+                belief: observe_belief(expected),
+                attempt,
                 may_queue,
                 hedge_after: hedges.then(|| pool.hedge_after(call)),
             })
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::pool::Call;
+use crate::pool::{Call, Expected};
 use crate::work::USUAL_PACE;
 use crate::{Attempt, Node};
 
@@ -171,11 +171,24 @@
         self.ejected_until.is_some_and(|until| now >= until) && !self.on_trial
     }
 
-    pub(crate) fn begin(&mut self, now: Instant, attempt: Attempt, prior: Prior, call: &Call) {
-        let expected = Duration::from_secs_f64(self.cost(now, prior, call.may_wait));
+    /// Notes an own call and tells what is expected of it.
+    pub(crate) fn begin(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        prior: Prior,
+        call: &Call,
+    ) -> Expected {
+        let expected = Expected {
+            pace: self.known_pace(),
+            report_age: self.report_age(now),
+            occupancy: self.occupancy(now, prior),
+            time: Duration::from_secs_f64(self.cost(now, prior, call.may_wait)),
+        };
         let (may_wait, kind) = (call.may_wait, call.kind.clone());
-        self.own.push(Own { attempt, sent: now, expected, may_wait, kind });
+        self.own.push(Own { attempt, sent: now, expected: expected.time, may_wait, kind });
         self.on_trial = self.ejected_until.is_some();
+        expected
     }
 
     /// Ends an own call and gives its kind.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -187,27 +187,16 @@
         Choice::Send { node: self.estimates[index].target.node, may_queue: true }
     }
 
-    /// What is expected of a call to `node`.
-    pub fn expect(&self, now: Instant, node: Node, call: &Call) -> Expected {
-        let prior = self.prior_of(call);
-        let known = self.estimates.iter().find(|estimate| estimate.target.node == node);
-        known.map_or_else(Expected::default, |estimate| Expected {
-            pace: estimate.known_pace(),
-            report_age: estimate.report_age(now),
-            occupancy: estimate.occupancy(now, prior),
-            time: Duration::from_secs_f64(estimate.cost(now, prior, call.may_wait)),
-        })
-    }
-
-    /// Notes that an attempt was sent to `node`.
-    pub fn begin(&mut self, now: Instant, node: Node, call: &Call) -> Attempt {
+    /// Notes that an attempt was sent to `node`, and tells what is expected of it.
+    pub fn begin(&mut self, now: Instant, node: Node, call: &Call) -> (Attempt, Expected) {
         self.attempts += 1;
         let attempt = self.attempts;
         let prior = self.prior_of(call);
-        if let Some(estimate) = self.find(node) {
-            estimate.begin(now, attempt, prior, call);
-        }
-        attempt
+        let expected = match self.find(node) {
+            Some(estimate) => estimate.begin(now, attempt, prior, call),
+            None => Expected::default(),
+        };
+        (attempt, expected)
     }
 
     /// Notes how an attempt at `node` ended.
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -52,7 +52,7 @@
             continue;
         };
         *counts.entry(node).or_default() += 1;
-        let attempt = pool.begin(*now, node, &urgent());
+        let (attempt, _) = pool.begin(*now, node, &urgent());
         let (ending, took) = ending(node);
         *now += took;
         pool.end(*now, node, attempt, ending);
--- a/crates/route/tests/slow.rs
+++ b/crates/route/tests/slow.rs
@@ -23,7 +23,7 @@
     pool.set_targets((1..=targets).map(|node| Target { node, rtt, slots: 12, is_near: true }));
     for node in 1..=targets {
         tell(&mut pool, now, node, 0, 100);
-        let attempt = pool.begin(now, node, &call());
+        let (attempt, _) = pool.begin(now, node, &call());
         pool.end(now, node, attempt, Ending::Answered(WORK));
     }
     pool
