Lab: processes, stand-ins and plans are started and stated in one way

Starting a child process stood three times, the stand-in store twice, the stand-ins' main loop three times, the flags of a command twice, the plan of one service four times, the change of a plan's service times three times, the look whether all members are known twice. Flags, seeds and plans are as before.

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -6,28 +6,26 @@
 
 /// The deployment of Lahore at its size of today.
 pub fn lahore(policy: &str, seed: u64) -> Plan {
-    let centres = ["lahore-1", "lahore-2", "kasur-1", "okara-1"];
-    Plan {
-        data_centres: centres.map(Box::from).to_vec(),
-        services: vec![
-            service("ward-desk", 7, 12, 20, WARD_DESK),
-            service("munadi-send", 4, 12, 25, MUNADI_SEND),
-        ],
-        entries: 0,
-        policy: policy.into(),
-        seed,
-        logs: None,
-    }
+    let services = vec![
+        service("ward-desk", 7, 12, 20, WARD_DESK),
+        service("munadi-send", 4, 12, 25, MUNADI_SEND),
+    ];
+    deployment(&["lahore-1", "lahore-2", "kasur-1", "okara-1"], services, policy, seed)
 }
 
 /// The deployment of the sangh at its size of today.
 pub fn sangh(policy: &str, seed: u64) -> Plan {
+    let services = vec![
+        service("slot-board", 7, 9, 20, SLOT_BOARD),
+        service("booking-desk", 3, 9, 25, BOOKING_DESK),
+    ];
+    deployment(&["kathmandu-1", "lalitpur-1", "bhaktapur-1"], services, policy, seed)
+}
+
+fn deployment(centres: &[&str], services: Vec<ServicePlan>, policy: &str, seed: u64) -> Plan {
     Plan {
-        data_centres: ["kathmandu-1", "lalitpur-1", "bhaktapur-1"].map(Box::from).to_vec(),
-        services: vec![
-            service("slot-board", 7, 9, 20, SLOT_BOARD),
-            service("booking-desk", 3, 9, 25, BOOKING_DESK),
-        ],
+        data_centres: centres.iter().copied().map(Box::from).collect(),
+        services,
         entries: 0,
         policy: policy.into(),
         seed,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 
-use crate::process::{Process, program};
+use crate::process::{self, Process, args_of};
 
 /// Ports that fleets use.
 const FIRST_PORT: u16 = 10_000;
@@ -49,6 +49,21 @@
     pub file: Box<str>,
 }
 
+impl Plan {
+    /// One service in two data centres, with logs where the variable `LAB_LOGS`
+    /// names a folder.
+    pub fn of(service: ServicePlan, seed: u64) -> Self {
+        Self {
+            data_centres: vec!["lahore-1".into(), "kasur-1".into()],
+            services: vec![service],
+            entries: 0,
+            policy: "bronzeport".into(),
+            seed,
+            logs: std::env::var_os("LAB_LOGS").map(Into::into),
+        }
+    }
+}
+
 /// A host: a target and the daemon beside it.
 #[derive(Debug)]
 pub struct Host {
@@ -82,7 +97,6 @@
     /// All hosts.
     pub hosts: Vec<Host>,
     plan: Plan,
-    program: PathBuf,
 }
 
 impl Fleet {
@@ -99,13 +113,9 @@
 
     /// Starts the platform and prepares the hosts.
     pub fn start_platform(plan: Plan) -> Result<Self, Box<str>> {
-        let program = program();
-        let platform = free_address();
-        let args = ["standin", "--listen", &platform.to_string(), "--seed", &plan.seed.to_string()];
         let log = log_path(plan.logs.as_deref(), "platform");
-        let standin = start(&program, &args.map(String::from), log.as_deref())?;
-        wait_for(platform)?;
-        let mut fleet = Self { platform, standin, hosts: Vec::new(), plan, program };
+        let (standin, platform) = start_standin(plan.seed, log.as_deref())?;
+        let mut fleet = Self { platform, standin, hosts: Vec::new(), plan };
         fleet.prepare_hosts();
         Ok(fleet)
     }
@@ -138,7 +148,6 @@
         let first_peers: Vec<String> =
             self.hosts.iter().take(3).map(|host| host.peers.to_string()).collect();
         let seed = self.plan.seed + number as u64 + 1;
-        let mut daemon_args = vec!["daemon".into()];
         let settings = [
             ("listen", callers.to_string()),
             ("peer-listen", peers.to_string()),
@@ -152,19 +161,11 @@
             ("seed", seed.to_string()),
             ("peers", first_peers.join(",")),
         ];
-        for (flag, value) in settings.into_iter().filter(|(_, value)| !value.is_empty()) {
-            daemon_args.extend([format!("--{flag}"), value]);
-        }
-        let target_args = vec![
-            "target".into(),
-            "--listen".into(),
-            target.to_string(),
-            "--slots".into(),
-            service.slots.to_string(),
-            "--service-us".into(),
-            service.service.as_micros().to_string(),
-            "--seed".into(),
-            seed.to_string(),
+        let target_flags = [
+            ("listen", target.to_string()),
+            ("slots", service.slots.to_string()),
+            ("service-us", service.service.as_micros().to_string()),
+            ("seed", seed.to_string()),
         ];
         Host {
             service: service.name.clone(),
@@ -174,8 +175,8 @@
             target,
             daemon: None,
             process: None,
-            daemon_args,
-            target_args,
+            daemon_args: args_of("daemon", settings),
+            target_args: args_of("target", target_flags),
             runs: Vec::new(),
         }
     }
@@ -196,7 +197,7 @@
         let log = log_path(self.plan.logs.as_deref(), &format!("target-{index}"));
         let host = &mut self.hosts[index];
         host.collect_runs();
-        host.process = Some(start(&self.program, &host.target_args, log.as_deref())?);
+        host.process = Some(process::start(&host.target_args, log.as_deref())?);
         Ok(())
     }
 
@@ -204,7 +205,7 @@
     pub fn start_daemon(&mut self, index: usize) -> Result<(), Box<str>> {
         let log = log_path(self.plan.logs.as_deref(), &format!("daemon-{index}"));
         let host = &mut self.hosts[index];
-        host.daemon = Some(start(&self.program, &host.daemon_args, log.as_deref())?);
+        host.daemon = Some(process::start(&host.daemon_args, log.as_deref())?);
         Ok(())
     }
 
@@ -274,11 +275,8 @@
             let Some(state) = host.state() else {
                 return false;
             };
-            let members = state["members"].as_array().map_or(0, |members| {
-                members.iter().filter(|member| member["state"] == "alive").count()
-            });
             let is_up = state["target"]["reachable"] == true || host.process.is_none();
-            state["revision"].as_u64() > Some(0) && members >= running.len() && is_up
+            is_up && knows(&state, running.len())
         };
         let waited = wait_until(limit, || running.iter().all(|host| is_ready(host)));
         waited.ok_or("the fleet is not ready in time")?;
@@ -371,6 +369,13 @@
     kernel.run(work(store))
 }
 
+/// Whether a daemon's state page tells of a configuration and this many members.
+pub fn knows(state: &Value, members: usize) -> bool {
+    let alive = |member: &&Value| member["state"] == "alive";
+    let known = state["members"].as_array().into_iter().flatten().filter(alive).count();
+    state["revision"].as_u64() > Some(0) && known >= members
+}
+
 /// Polls until `is_done` or the time is over.
 pub fn wait_until(limit: Duration, is_done: impl Fn() -> bool) -> Option<Duration> {
     let start = Instant::now();
@@ -407,9 +412,13 @@
     }
 }
 
-fn start(program: &Path, args: &[String], log: Option<&Path>) -> Result<Process, Box<str>> {
-    Process::start(program, args, log)
-        .map_err(|error| format!("cannot start {} {}: {error}", program.display(), args[0]).into())
+/// Starts the stand-in for the platform and gives its address.
+pub fn start_standin(seed: u64, log: Option<&Path>) -> Result<(Process, SocketAddr), Box<str>> {
+    let address = free_address();
+    let flags = [("listen", address.to_string()), ("seed", seed.to_string())];
+    let standin = process::start(&args_of("standin", flags), log)?;
+    wait_for(address)?;
+    Ok((standin, address))
 }
 
 fn log_path(folder: Option<&Path>, name: &str) -> Option<PathBuf> {
--- a/crates/lab/src/latency.rs
+++ b/crates/lab/src/latency.rs
@@ -11,7 +11,7 @@
 
 use crate::fleet::{Fleet, Plan, ServicePlan, free_address, wait_for};
 use crate::load::{Load, Summary};
-use crate::process::{Process, program};
+use crate::process::{self, Process, args_of};
 use crate::tour::kind;
 
 /// Time of one measurement.
@@ -33,20 +33,15 @@
 
 /// Measures the ways at each rate.
 pub fn run(seed: u64) -> Result<Vec<Value>, Box<str>> {
-    let plan = Plan {
-        data_centres: vec!["lahore-1".into()],
-        services: vec![ServicePlan {
-            name: "echo".into(),
-            targets: 1,
-            slots: 64,
-            service: Duration::ZERO,
-            file: FILE.into(),
-        }],
-        entries: 1,
-        policy: "bronzeport".into(),
-        seed,
-        logs: None,
+    let service = ServicePlan {
+        name: "echo".into(),
+        targets: 1,
+        slots: 64,
+        service: Duration::ZERO,
+        file: FILE.into(),
     };
+    let data_centres = vec!["lahore-1".into()];
+    let plan = Plan { data_centres, entries: 1, logs: None, ..Plan::of(service, seed) };
     let fleet = Fleet::start(plan)?;
     let target = fleet.hosts[0].target;
     let entry = fleet.hosts[1].callers;
@@ -88,9 +83,8 @@
 /// Starts a relay to `to` and gives its address.
 fn start_relay(to: SocketAddr) -> Result<(Process, SocketAddr), Box<str>> {
     let listen = free_address();
-    let args = ["relay", "--listen", &listen.to_string(), "--to", &to.to_string()];
-    let process = Process::start(&program(), &args.map(String::from), None)
-        .map_err(|error| format!("cannot start a relay: {error}"))?;
+    let flags = [("listen", listen.to_string()), ("to", to.to_string())];
+    let process = process::start(&args_of("relay", flags), None)?;
     wait_for(listen)?;
     Ok((process, listen))
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -195,19 +195,27 @@
 }
 
 fn run_sidecar(options: Options) -> Result<ExitCode, Failure> {
-    process::end_with_parent();
-    let kernel = Kernel::new()?;
-    let listener = options.listener()?;
     let settings = sidecar::Settings {
         control: options.control.ok_or("--control is missing")?,
         announced: options.announced.ok_or("--announced is missing")?,
-        service: options.name.into(),
+        service: options.name.as_str().into(),
         slots: options.slots,
         work: options.service,
         seed: options.seed,
     };
+    serve(&options, |kernel, listener| sidecar::serve(kernel, listener, settings))
+}
+
+/// Serves what `open` opens on the listener until this process ends.
+fn serve(
+    options: &Options,
+    open: impl FnOnce(&Kernel, TcpListener) -> std::io::Result<web::Serving>,
+) -> Result<ExitCode, Failure> {
+    process::end_with_parent();
+    let kernel = Kernel::new()?;
+    let listener = options.listener()?;
     kernel.run(async {
-        let _serving = sidecar::serve(&kernel, listener, settings)?;
+        let _serving = open(&kernel, listener)?;
         std::future::pending::<()>().await;
         Ok(ExitCode::SUCCESS)
     })
@@ -231,31 +239,17 @@
 }
 
 fn run_standin(options: Options) -> Result<ExitCode, Failure> {
-    process::end_with_parent();
-    let kernel = Kernel::new()?;
-    let listener = options.listener()?;
-    kernel.run(async {
-        let _serving = standin::serve(&kernel, listener, options.seed)?;
-        std::future::pending::<()>().await;
-        Ok(ExitCode::SUCCESS)
-    })
+    serve(&options, |kernel, listener| standin::serve(kernel, listener, options.seed))
 }
 
 fn run_target(options: Options) -> Result<ExitCode, Failure> {
-    process::end_with_parent();
-    let kernel = Kernel::new()?;
-    let listener = options.listener()?;
     let settings = target::Settings {
         slots: options.slots,
         connections: options.connections,
         service: options.service,
         seed: options.seed,
     };
-    kernel.run(async {
-        let _serving = target::serve(&kernel, listener, settings)?;
-        std::future::pending::<()>().await;
-        Ok(ExitCode::SUCCESS)
-    })
+    serve(&options, |kernel, listener| target::serve(kernel, listener, settings))
 }
 
 fn run_relay(options: Options) -> Result<ExitCode, Failure> {
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -29,6 +29,24 @@
     named.or_else(|| std::env::current_exe().ok()).unwrap_or_else(|| "lab".into())
 }
 
+/// The arguments of a subcommand with flags; flags without a value are left out.
+pub fn args_of(
+    command: &str,
+    flags: impl IntoIterator<Item = (&'static str, String)>,
+) -> Vec<String> {
+    let flags = flags.into_iter().filter(|(_, value)| !value.is_empty());
+    let flags = flags.flat_map(|(flag, value)| [format!("--{flag}"), value]);
+    std::iter::once(command.to_owned()).chain(flags).collect()
+}
+
+/// Starts the program with a subcommand and its arguments. Its log goes to `log`,
+/// or nowhere.
+pub fn start(args: &[String], log: Option<&Path>) -> Result<Process, Box<str>> {
+    let program = program();
+    Process::start(&program, args, log)
+        .map_err(|error| format!("cannot start {} {}: {error}", program.display(), args[0]).into())
+}
+
 /// Marks a process that this program has started.
 const CHILD_VARIABLE: &str = "LAB_CHILD";
 
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::deployment::{lahore, sangh};
-use crate::fleet::{Plan, ServicePlan};
+use crate::fleet::Plan;
 use crate::load::{Kind, Step};
 use crate::tour::kind;
 
@@ -122,27 +122,27 @@
     measured(sangh(policy, seed))
 }
 
-fn measured(plan: Plan) -> Plan {
-    let services = plan.services.into_iter().take(1);
-    let services = services.map(|service| ServicePlan { service: SERVICE, ..service });
-    Plan { services: services.collect(), ..plan }
+fn measured(mut plan: Plan) -> Plan {
+    plan.services.truncate(1);
+    with_service_time(plan, SERVICE)
+}
+
+/// A plan whose services all take this time.
+fn with_service_time(mut plan: Plan, time: Duration) -> Plan {
+    for service in &mut plan.services {
+        service.service = time;
+    }
+    plan
 }
 
 /// Lahore with both services.
 fn all_lahore(policy: &str, seed: u64) -> Plan {
-    let plan = lahore(policy, seed);
-    let services = plan.services.into_iter();
-    let services = services.map(|service| ServicePlan { service: SERVICE, ..service });
-    Plan { services: services.collect(), ..plan }
+    with_service_time(lahore(policy, seed), SERVICE)
 }
 
 /// Lahore with short service times, for chains.
 fn quick_lahore(policy: &str, seed: u64) -> Plan {
-    let plan = ward_desk(policy, seed);
-    let services = plan.services.into_iter();
-    let quick = Duration::from_millis(2);
-    let services = services.map(|service| ServicePlan { service: quick, ..service });
-    Plan { services: services.collect(), ..plan }
+    with_service_time(ward_desk(policy, seed), Duration::from_millis(2))
 }
 
 fn notices(load: f64) -> Kind {
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -55,14 +55,7 @@
         service: Duration::from_millis(5),
         file: DESK.into(),
     };
-    Plan {
-        data_centres: vec!["lahore-1".into(), "kasur-1".into()],
-        services: vec![service],
-        entries,
-        policy: "bronzeport".into(),
-        seed,
-        logs: None,
-    }
+    Plan { entries, logs: None, ..Plan::of(service, seed) }
 }
 
 /// Bytes, datagrams, processor time and memory of a daemon without calls.
--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -106,20 +106,14 @@
 }
 
 fn plan(seed: u64) -> Plan {
-    Plan {
-        data_centres: vec!["lahore-1".into(), "kasur-1".into()],
-        services: vec![ServicePlan {
-            name: "desk".into(),
-            targets: TARGETS,
-            slots: 8,
-            service: Duration::from_millis(30),
-            file: DESK.into(),
-        }],
-        entries: 0,
-        policy: "bronzeport".into(),
-        seed,
-        logs: std::env::var_os("LAB_LOGS").map(Into::into),
-    }
+    let service = ServicePlan {
+        name: "desk".into(),
+        targets: TARGETS,
+        slots: 8,
+        service: Duration::from_millis(30),
+        file: DESK.into(),
+    };
+    Plan::of(service, seed)
 }
 
 fn pick(random: &mut fastrand::Rng) -> Fault {
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -12,8 +12,8 @@
 use store::{Commit, Condition, Write};
 
 use super::schedule::{Fault, Step};
-use crate::fleet::{free_address, get, post, wait_for, wait_until, with_store};
-use crate::process::{Process, program};
+use crate::fleet::{free_address, get, knows, post, start_standin, wait_until, with_store};
+use crate::process::{self, Process, args_of};
 use crate::proxy::{self, Proxy};
 use crate::sidecar::unix_millis;
 
@@ -129,10 +129,7 @@
 impl Mesh {
     /// Starts everything and waits until all daemons are ready.
     pub fn start(daemons: usize, seed: u64, logs: Option<&Path>) -> Result<Self, Box<str>> {
-        let store = free_address();
-        let args = ["standin", "--listen", &store.to_string(), "--seed", &seed.to_string()];
-        let store_process = start(&args.map(String::from))?;
-        wait_for(store)?;
+        let (store_process, store) = start_standin(seed, None)?;
         let hosts = (0..daemons).map(|number| prepare(number, store, seed));
         let mut mesh = Self {
             store,
@@ -161,10 +158,7 @@
         let daemons = self.hosts.len();
         let is_ready = |host: &Host| {
             let state = get(host.admin, "/state").unwrap_or_default();
-            let alive = |member: &&Value| member["state"] == "alive";
-            let members = state["members"].as_array().into_iter().flatten().filter(alive).count();
-            let is_configured = state["revision"].as_u64() > Some(0);
-            state["target"]["reachable"] == true && members >= daemons && is_configured
+            state["target"]["reachable"] == true && knows(&state, daemons)
         };
         let all_ready = || self.hosts.iter().all(is_ready);
         let waited = wait_until(START_LIMIT, all_ready);
@@ -428,8 +422,6 @@
         }
         if !is_over {
             self.seen.ends.push(format!("daemon {host} did not stop within {STOP_LIMIT:?}"));
-        }
-        if !is_over {
             self.hosts[host].daemon = None;
         }
         self.start_daemon(host)?;
@@ -474,7 +466,7 @@
     }
 
     fn start_target(&mut self, host: usize) -> Result<(), Box<str>> {
-        self.hosts[host].process = Some(start(&self.hosts[host].target_args)?);
+        self.hosts[host].process = Some(process::start(&self.hosts[host].target_args, None)?);
         Ok(())
     }
 
@@ -484,7 +476,7 @@
             return Ok(());
         }
         self.keep_log(host);
-        self.hosts[host].daemon = Some(start(&self.hosts[host].daemon_args)?);
+        self.hosts[host].daemon = Some(process::start(&self.hosts[host].daemon_args, None)?);
         Ok(())
     }
 
@@ -596,18 +588,8 @@
     })
 }
 
-fn args_of(command: &str, flags: impl IntoIterator<Item = (&'static str, String)>) -> Vec<String> {
-    let flags = flags.into_iter().flat_map(|(flag, value)| [format!("--{flag}"), value]);
-    std::iter::once(command.to_owned()).chain(flags).collect()
-}
-
 fn signal(process: Option<&Process>, name: &str) {
     if let Some(process) = process {
         process.signal(name);
     }
 }
-
-fn start(args: &[String]) -> Result<Process, Box<str>> {
-    Process::start(&program(), args, None)
-        .map_err(|error| format!("cannot start {}: {error}", args[0]).into())
-}
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -44,20 +44,8 @@
 /// A fleet with one service, `desk`.
 pub fn plan(targets: usize, slots: usize, service: Duration, seed: u64) -> Plan {
     use_built_program();
-    Plan {
-        data_centres: vec!["lahore-1".into(), "kasur-1".into()],
-        services: vec![ServicePlan {
-            name: "desk".into(),
-            targets,
-            slots,
-            service,
-            file: DESK.into(),
-        }],
-        entries: 0,
-        policy: "bronzeport".into(),
-        seed,
-        logs: std::env::var_os("LAB_LOGS").map(Into::into),
-    }
+    let service = ServicePlan { name: "desk".into(), targets, slots, service, file: DESK.into() };
+    Plan::of(service, seed)
 }
 
 fn use_built_program() {
