--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,7 +27,7 @@
 mod logs;
 mod membership;
 mod names;
-pub mod node;
+mod node;
 mod peers;
 mod router;
 pub mod settings;
@@ -35,4 +35,4 @@
 mod surroundings;
 mod target;
 
-pub use logs::start as start_log;
+pub use node::run;
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -4,9 +4,9 @@
 //! nothing. What does not fit into its queue is dropped and counted.
 
 use std::io::{self, Write};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use log::{Level, Record};
 use route::Node;
@@ -20,22 +20,65 @@
 const MAX_WAITING: usize = 1024;
 /// Time for which lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
+/// Longest wait at the end of the process for the lines that are not written yet:
+/// two times for which lines are gathered. A reader that does not read gets no more.
+const FINISH_TIME: Duration = Duration::from_millis(200);
+/// Time between two tries to end the queue when it is full.
+const FINISH_POLL: Duration = Duration::from_millis(10);
 /// Target of lines about requests, which are JSON already.
 const REQUEST: &str = "request";
 
-/// Starts the log that the settings ask for.
-pub fn start(settings: &Settings) {
-    let (sender, lines) = sync_channel(MAX_WAITING);
-    let writer = thread::Builder::new().name("log".into()).spawn(move || write_all(&lines));
-    if let Err(error) = writer {
-        eprintln!("no thread for log lines, so that none are written: {error}");
-        return;
+/// The log of a process.
+#[derive(Debug)]
+pub(crate) struct Log {
+    sender: SyncSender<Message>,
+    /// Closed by the thread that writes, once it has written the last line.
+    is_finished: Receiver<()>,
+}
+
+/// What the thread that writes is told.
+#[derive(Debug)]
+enum Message {
+    /// Write a line.
+    Line(Vec<u8>),
+    /// Write what came before and end.
+    End,
+}
+
+impl Log {
+    /// Starts the log that the settings ask for.
+    pub(crate) fn start(settings: &Settings) -> Self {
+        let (sender, messages) = sync_channel(MAX_WAITING);
+        let (finish, is_finished) = sync_channel(0);
+        let writer = thread::Builder::new().name("log".into()).spawn(move || {
+            write_all(&messages);
+            drop(finish);
+        });
+        match writer {
+            Ok(_) => env_logger::Builder::new()
+                .parse_filters(&settings.log)
+                .target(env_logger::Target::Pipe(Box::new(Pipe { sender: sender.clone() })))
+                .format(|to, record| to.write_all(line_of(record).as_bytes()))
+                .init(),
+            Err(error) => {
+                eprintln!("no thread for log lines, so that none are written: {error}");
+            }
+        }
+        Self { sender, is_finished }
+    }
+
+    /// Waits until the lines so far are written, for 200 ms at most.
+    pub(crate) fn finish(self) {
+        let until = Instant::now() + FINISH_TIME;
+        while let Err(TrySendError::Full(_)) = self.sender.try_send(Message::End) {
+            if Instant::now() >= until {
+                return;
+            }
+            thread::sleep(FINISH_POLL);
+        }
+        // Nothing is ever sent; the wait ends when the writer does, or in time.
+        let _ = self.is_finished.recv_timeout(until.saturating_duration_since(Instant::now()));
     }
-    env_logger::Builder::new()
-        .parse_filters(&settings.log)
-        .target(env_logger::Target::Pipe(Box::new(Pipe { sender })))
-        .format(|to, record| to.write_all(line_of(record).as_bytes()))
-        .init();
 }
 
 /// Writes a line about a request.
@@ -76,12 +119,12 @@
 
 /// Hands whole lines to the thread that writes them.
 struct Pipe {
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<Message>,
 }
 
 impl Write for Pipe {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.sender.try_send(line.to_vec()).is_err() {
+        if self.sender.try_send(Message::Line(line.to_vec())).is_err() {
             metrics::counter!("bronzeport_log_lines_dropped_total", "cause" => "slow-reader")
                 .increment(1);
         }
@@ -93,14 +136,26 @@
     }
 }
 
-fn write_all(lines: &Receiver<Vec<u8>>) {
+fn write_all(messages: &Receiver<Message>) {
     let mut batch = Vec::new();
-    while let Ok(line) = lines.recv() {
-        batch.extend(line);
+    while let Ok(Message::Line(first)) = messages.recv() {
+        batch.extend(first);
         thread::sleep(GATHER);
-        batch.extend(lines.try_iter().flatten());
+        let mut is_last = false;
+        for message in messages.try_iter() {
+            match message {
+                Message::Line(line) => batch.extend(line),
+                Message::End => {
+                    is_last = true;
+                    break;
+                }
+            }
+        }
         // A reader that has gone takes no lines; the daemon works on without.
         let _ = io::stdout().write_all(&batch);
+        if is_last {
+            return;
+        }
         batch.clear();
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +19,7 @@
 
 use crate::edge::Edge;
 use crate::entry::Entry;
+use crate::logs::Log;
 use crate::settings::Settings;
 use crate::{
     admin, configuration, guard, journal, membership, names, peers, router, storage, surroundings,
@@ -39,18 +41,18 @@
 
 /// Why a daemon did not start.
 #[derive(Debug)]
-pub struct StartError {
+pub(crate) struct StartError {
     what: Box<str>,
     cause: io::Error,
 }
 
 /// How a daemon has stopped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Stopped {
+#[derive(Debug)]
+struct Stopped {
     /// Calls answered since the start.
-    pub finished: u64,
+    finished: u64,
     /// Requests that were cut off.
-    pub cut: usize,
+    cut: usize,
 }
 
 impl fmt::Display for StartError {
@@ -71,8 +73,25 @@
     }
 }
 
-/// Runs a daemon until a signal has stopped it.
-pub fn run(settings: Settings, edge: Edge) -> Result<Stopped, StartError> {
+/// Runs a daemon until a signal has stopped it, and writes its log. The exit code
+/// tells of a daemon that did not start; the cause is on standard error.
+pub fn run(settings: Settings, edge: Edge) -> ExitCode {
+    let log = Log::start(&settings);
+    let code = match serve(settings, edge) {
+        Ok(stopped) => {
+            log::info!("stopped: {} calls answered, {} cut off", stopped.finished, stopped.cut);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    };
+    log.finish();
+    code
+}
+
+fn serve(settings: Settings, edge: Edge) -> Result<Stopped, StartError> {
     let kernel = Kernel::new().describe(|| "runtime".into())?;
     let seed = match settings.seed {
         0 => fastrand::u64(..),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -262,11 +262,8 @@
     process::end_with_parent();
     match daemon::settings::read(args, |_| None)? {
         daemon::settings::Command::Run(settings) => {
-            daemon::start_log(&settings);
             let edge = platform::edge_of(settings.interface);
-            let stopped = daemon::node::run(*settings, edge)?;
-            eprintln!("stopped: {} calls answered, {} cut off", stopped.finished, stopped.cut);
-            Ok(ExitCode::SUCCESS)
+            Ok(daemon::run(*settings, edge))
         }
         _ => Ok(ExitCode::FAILURE),
     }
