Guard: a target gets no more connections than the operator states

Cause: max_connections of a service was decoded and the setting of the same meaning read, and neither was used: with fewer connections than slots the target resets what is beyond, and a request that may not be repeated ends in 502. The gate runs at most the connections less two for looks, and the client closes the longest idle connection before one more would exceed the bound.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -99,6 +99,8 @@
     limit: Limit,
     knee: Knee,
     stated: u16,
+    /// Bound of the requests that run, whatever the target states.
+    bound: u16,
     discipline: Discipline,
     running: BTreeSet<Ticket>,
     queue: Queue,
@@ -119,6 +121,7 @@
             limit: Limit::new(slots),
             knee: Knee::default(),
             stated: slots.max(1),
+            bound: u16::MAX,
             discipline,
             running: BTreeSet::new(),
             queue: Queue::default(),
@@ -233,6 +236,12 @@
         self.wait_behind(self.queue.len()).max(MIN_RETRY_AFTER)
     }
 
+    /// Bounds the requests that run at a time, also for later starts of the target.
+    /// One always may.
+    pub fn set_bound(&mut self, bound: u16) {
+        self.bound = bound.max(1);
+    }
+
     /// Gives all stated slots at once.
     pub fn open(&mut self) {
         self.limit.open();
@@ -265,7 +274,7 @@
 
     /// Requests that may run at a time at present.
     pub fn slots(&self) -> u16 {
-        self.limit.current().min(self.knee.slots(self.stated))
+        self.limit.current().min(self.knee.slots(self.stated)).min(self.bound)
     }
 
     /// Moving average of the service time.
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -45,6 +45,23 @@
     assert_eq!(gate.slots(), 3);
 }
 
+/// A target with more slots than connections: the operator states few connections,
+/// also while it is full and when it starts anew.
+#[test]
+fn no_more_requests_run_than_the_bound_whatever_the_target_states() {
+    let now = Instant::now();
+    let mut gate = warm_gate(now, 8);
+    gate.set_bound(3);
+    fill(&mut gate, now, 3);
+    assert_eq!(gate.arrive(now, request(now, 10, Class::Urgent, 1000)), Verdict::Wait);
+    gate.reopen(12, false);
+    assert_eq!(gate.slots(), 3);
+    gate.set_bound(0);
+    assert_eq!(gate.slots(), 1, "one request always may run");
+    gate.set_bound(u16::MAX);
+    assert_eq!(gate.slots(), 12);
+}
+
 #[test]
 fn shedding_lowers_the_slots_and_time_restores_them_one_by_one() {
     let start = Instant::now();
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -250,9 +250,8 @@
             let endpoints = table.endpoints.iter();
             let names = endpoints.clone().map(|endpoint| endpoint.service.clone()).collect();
             router.send(router::Ask::Endpoints(names));
-            let paths = endpoints.map(|e| (e.service.clone(), e.health_path.clone())).collect();
             let guard: Mailbox<guard::Ask> = self.kernel.service(names::GUARD);
-            guard.send(guard::Ask::HealthPaths(paths));
+            guard.send(guard::Ask::Endpoints(endpoints.cloned().collect()));
         }
         let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
         membership.send(membership::Ask::Revision(revision));
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use admit::{Discipline, Gate, Hold, Holds, Standing, Ticket};
+use config::Endpoint;
 use kernel::{Kernel, Mailbox, Reply};
 use once::Ledger;
 use route::{Load, Node, Works};
@@ -54,8 +55,8 @@
     Due { reply: Reply<Option<Due>> },
     /// The target says something of itself. The answer tells that it is known.
     Notice { notice: Notice, reply: Reply<()> },
-    /// Paths of the health pages, by service.
-    HealthPaths(HashMap<Box<str>, Box<str>>),
+    /// What is stated of the targets of each service.
+    Endpoints(Vec<Endpoint>),
     /// The target may have one more slot by now.
     WarmUp,
     /// News of crashes.
@@ -150,6 +151,7 @@
     let inbox = kernel.register::<Ask>(names::GUARD);
     let mailbox = kernel.service::<Ask>(names::GUARD);
     let slots = target.map_or(1, |target| target.slots);
+    let connections = target.map_or(u16::MAX, |target| target.connections);
     let service = target.map_or("".into(), |target| target.service.clone());
     let service = Rc::new(RefCell::new(service));
     let target = target.map(|target| {
@@ -159,7 +161,7 @@
     if target.is_some() {
         kernel.start(watch(kernel.clone(), mailbox.clone()));
     }
-    let task = Task {
+    let mut task = Task {
         kernel: kernel.clone(),
         mailbox,
         journal: kernel.service(names::JOURNAL),
@@ -170,7 +172,8 @@
         target,
         service: service.clone(),
         standing: edge.read_notice.map(|_| Standing::default()),
-        health_paths: HashMap::new(),
+        endpoints: Vec::new(),
+        connections,
         report: None,
         told: Load::default(),
         works: Works::default(),
@@ -182,6 +185,7 @@
         crash: HashSet::new(),
         looked_at: None,
     };
+    task.bound_connections();
     kernel.start(task.run(inbox));
     Handle {
         kernel: kernel.clone(),
--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use admit::{Announcement, Change, Notice, Standing, Ticket, WARM_STEP};
+use config::Endpoint;
 use kernel::Mailbox;
 use route::{Load, guess_work, pace_factor};
 use wire::{Reason, Request};
@@ -124,6 +125,20 @@
         }
     }
 
+    /// What the configuration states of the target.
+    fn endpoint(&self) -> Option<&Endpoint> {
+        let service = self.service.borrow();
+        self.endpoints.iter().find(|endpoint| endpoint.service == *service)
+    }
+
+    /// Keeps to the connections that the target takes.
+    pub(super) fn bound_connections(&mut self) {
+        let connections = self.endpoint().map_or(self.connections, |stated| stated.connections);
+        if let Some(target) = &self.target {
+            self.gate.set_bound(target.set_connections(connections));
+        }
+    }
+
     /// The target, if a look at it is due.
     pub(super) fn due_look(&mut self) -> Option<Due> {
         let now = self.now();
@@ -132,7 +147,7 @@
         metrics::gauge!("bronzeport_guard_waiting").set(f64::from(load.queued));
         metrics::gauge!("bronzeport_guard_slots").set(f64::from(load.slots));
         metrics::gauge!("bronzeport_target_pace_percent").set(f64::from(load.pace));
-        let health_path = self.health_paths.get(&**self.service.borrow()).cloned();
+        let health_path = self.endpoint().map(|endpoint| endpoint.health_path.clone());
         let every = match (self.is_reachable, &health_path) {
             (true, None) => OPEN_LOOK_EVERY,
             (true, Some(_)) => Duration::ZERO,
@@ -223,6 +238,7 @@
         self.report = None;
         self.gate.reopen(current.slots, !current.cold_for.is_zero());
         *self.service.borrow_mut() = current.service.clone();
+        self.bound_connections();
         let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
         let (service, slots) = (current.service, current.slots);
         membership.send(membership::Ask::Serve { service, slots });
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use admit::{Class, End, Gate, Holds, Next, Refusal, Standing, Ticket, Verdict};
+use config::Endpoint;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use once::{Ledger, Lookup};
 use route::{Load, Node, Works, pace_factor};
@@ -38,7 +39,11 @@
     pub(super) service: Rc<RefCell<Box<str>>>,
     /// Which start of the target is served, where targets say so themselves.
     pub(super) standing: Option<Standing>,
-    pub(super) health_paths: HashMap<Box<str>, Box<str>>,
+    /// What the configuration states of the targets of each service.
+    pub(super) endpoints: Vec<Endpoint>,
+    /// Connections that the target takes by the settings, where the configuration
+    /// does not say it.
+    pub(super) connections: u16,
     pub(super) report: Option<Heard>,
     /// The load that other daemons have been told last.
     pub(super) told: Load,
@@ -80,7 +85,10 @@
                 self.notice(notice);
                 reply.send(());
             }
-            Ask::HealthPaths(paths) => self.health_paths = paths,
+            Ask::Endpoints(endpoints) => {
+                self.endpoints = endpoints;
+                self.bound_connections();
+            }
             // What waits is looked at after each message.
             Ask::WarmUp => {}
             Ask::Holds(holds) => {
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -7,7 +7,7 @@
 
 mod event;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use kernel::{Inbox, Kernel, Reply};
@@ -47,6 +47,13 @@
     is_written: bool,
 }
 
+/// A request whose end is not known.
+#[derive(Debug)]
+struct Open {
+    number: u64,
+    entries: Vec<Entry>,
+}
+
 /// Starts the service.
 pub(crate) fn start(kernel: &Kernel, node: Node) {
     let inbox = kernel.register(names::JOURNAL);
@@ -55,6 +62,8 @@
         kernel: kernel.clone(),
         node,
         open: HashMap::new(),
+        by_age: BTreeMap::new(),
+        opened: 0,
         ended: VecDeque::new(),
         tokens: LINES_BURST,
         filled: now,
@@ -67,7 +76,11 @@
 struct Task {
     kernel: Kernel,
     node: Node,
-    open: HashMap<Box<str>, Vec<Entry>>,
+    open: HashMap<Box<str>, Open>,
+    /// The ids of `open` by their numbers, oldest first.
+    by_age: BTreeMap<u64, Box<str>>,
+    /// Requests opened since the start, which numbers the next.
+    opened: u64,
     ended: VecDeque<(Box<str>, Vec<Entry>)>,
     tokens: f64,
     filled: Instant,
@@ -89,8 +102,12 @@
 
     fn note(&mut self, id: Box<str>, event: Event) {
         let weight = event.weight();
-        let entries = self.open.entry(id.clone()).or_default();
-        entries.push(Entry { at: SystemTime::now(), event, is_written: false });
+        let open = self.open.entry(id.clone()).or_insert_with(|| {
+            self.opened += 1;
+            self.by_age.insert(self.opened, id.clone());
+            Open { number: self.opened, entries: Vec::new() }
+        });
+        open.entries.push(Entry { at: SystemTime::now(), event, is_written: false });
         match weight {
             Weight::Under => self.forget_open(),
             Weight::Usual => self.end(id, false),
@@ -103,14 +120,16 @@
         if self.open.len() <= MAX_OPEN {
             return;
         }
-        let oldest = self.open.iter().min_by_key(|(_, entries)| entries.first().map(|e| e.at));
-        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+        if let Some((_, id)) = self.by_age.pop_first() {
             self.end(id, false);
         }
     }
 
     fn end(&mut self, id: Box<str>, is_bad: bool) {
-        let mut entries = self.open.remove(&id).unwrap_or_default();
+        let Some(Open { number, mut entries }) = self.open.remove(&id) else {
+            return;
+        };
+        self.by_age.remove(&number);
         if is_bad || is_sampled(&id) {
             for entry in entries.iter_mut().filter(|entry| !entry.is_written) {
                 entry.is_written = true;
@@ -145,7 +164,8 @@
     fn explain(&self, id: &str) -> Vec<Entry> {
         let ended = self.ended.iter().filter(|(known, _)| **known == *id);
         let ended = ended.flat_map(|(_, entries)| entries);
-        ended.chain(self.open.get(id).into_iter().flatten()).cloned().collect()
+        let open = self.open.get(id).into_iter().flat_map(|open| &open.entries);
+        ended.chain(open).cloned().collect()
     }
 }
 
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -14,7 +14,7 @@
 /// Time limit of a look at the health page.
 const LOOK_TIME: Duration = Duration::from_millis(300);
 /// Connections kept open beyond one for each slot: for looks at the health page.
-const SPARE_CONNECTIONS: usize = 2;
+const SPARE_CONNECTIONS: u16 = 2;
 
 /// How a request at the target ended.
 #[derive(Debug)]
@@ -57,8 +57,8 @@
 
 impl Target {
     pub(crate) fn new(kernel: &Kernel, edge: Edge, identity: Identity, slots: u16) -> Self {
-        let connections = usize::from(slots) + SPARE_CONNECTIONS;
-        let client = Client::new(kernel.clone(), identity.address, connections);
+        let max_idle = usize::from(slots) + usize::from(SPARE_CONNECTIONS);
+        let client = Client::new(kernel.clone(), identity.address, max_idle);
         Self {
             kernel: kernel.clone(),
             client: client.with_max_answer(MAX_ANSWER_BYTES),
@@ -71,6 +71,13 @@
         &self.identity
     }
 
+    /// Sets how many connections the target takes at a time, and gives how many
+    /// requests may run by it: one connection each, beside those for looks.
+    pub(crate) fn set_connections(&self, connections: u16) -> u16 {
+        self.client.set_max_open(usize::from(connections.max(1)));
+        connections.saturating_sub(SPARE_CONNECTIONS).max(1)
+    }
+
     /// Whether the target takes connections.
     pub(crate) async fn is_reachable(&self) -> bool {
         self.client.is_reachable().await
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -354,16 +354,15 @@
     daemon.wait().expect("it has ended");
 }
 
-#[test]
-fn a_target_whose_health_page_is_not_known_stays_in_use() {
-    let mesh = mesh();
+/// Writes a configuration with one path, as the operator does.
+fn publish(mesh: &Mesh, prefix: &str, services: &serde_json::Value) {
     let path = json!({
-        "name": "r", "prefix": "/read/", "kind": "safe", "timeout": "5s",
+        "name": "r", "prefix": prefix, "kind": "safe", "timeout": "5s",
         "service": "desk", "max_attempts": 2,
     });
     let config = json!({
         "version": 1000,
-        "services": [],
+        "services": services,
         "virtual_hosts": [{ "hostname": "soak.example", "paths": [path] }],
     });
     let write = store::Write {
@@ -372,6 +371,39 @@
         value: config.to_string().into(),
     };
     with_store(mesh.store(), async |store| store.commit(vec![write]).await);
+}
+
+/// Issue 10: what the operator states of a target's connections was used nowhere.
+#[test]
+fn a_target_that_takes_few_connections_runs_fewer_requests_than_it_has_slots() {
+    let mesh = mesh();
+    // Two of three connections are for looks at the health page.
+    let services = json!([{ "name": "desk", "health_path": "/healthz", "max_connections": 3 }]);
+    publish(&mesh, "/slow/", &services);
+    let is_new = || call(mesh.callers(0), "GET", "/read/x", "gone", 500).status == 404;
+    wait_until(LIMIT, is_new).expect("the configuration is in force");
+    std::thread::scope(|scope| {
+        for number in 0..6 {
+            let entry = mesh.callers(number % HOSTS);
+            let id = format!("s-{number}");
+            scope.spawn(move || call(entry, "GET", "/slow/x", &id, 4500).status);
+        }
+    });
+    std::thread::sleep(Duration::from_millis(50));
+    for host in [0, 2, 4] {
+        let lines = mesh.target_lines(host);
+        let mut running = 0;
+        for line in lines.iter().filter(|line| line.contains(" s-")) {
+            running += if line.starts_with("run ") { 1 } else { -1 };
+            assert!(running <= 1, "{lines:?}");
+        }
+    }
+}
+
+#[test]
+fn a_target_whose_health_page_is_not_known_stays_in_use() {
+    let mesh = mesh();
+    publish(&mesh, "/read/", &json!([]));
     let is_new = || call(mesh.callers(0), "GET", "/slow/x", "gone", 500).status == 404;
     wait_until(LIMIT, is_new).expect("the configuration is in force");
     let _before = mesh.daemon_lines(0);
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,6 +1,6 @@
 //! The asking side: connections to one address.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,6 +24,8 @@
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Largest answer that is read unless the user of a client states another, in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Time between two looks whether a connection that is being closed is gone.
+const CLOSE_POLL: Duration = Duration::from_millis(1);
 /// Silence of the other side after which a connection counts as broken.
 const SILENCE: Duration = Duration::from_secs(3);
 
@@ -34,6 +36,9 @@
     address: SocketAddr,
     max_idle: usize,
     max_answer: usize,
+    max_open: Rc<Cell<usize>>,
+    /// Connections that are open or being opened.
+    open: Rc<Cell<usize>>,
     idle: Rc<RefCell<Vec<Idle>>>,
 }
 
@@ -69,10 +74,43 @@
     until: Instant,
 }
 
+/// Counts one connection while it lives.
+#[derive(Debug)]
+struct Place {
+    open: Rc<Cell<usize>>,
+}
+
+impl Place {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self { open: open.clone() }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
 impl Client {
     /// A client that keeps up to `max_idle` connections open for reuse.
     pub fn new(kernel: Kernel, address: SocketAddr, max_idle: usize) -> Self {
-        Self { kernel, address, max_idle, max_answer: MAX_ANSWER_BYTES, idle: Rc::default() }
+        Self {
+            kernel,
+            address,
+            max_idle,
+            max_answer: MAX_ANSWER_BYTES,
+            max_open: Rc::new(Cell::new(usize::MAX)),
+            open: Rc::default(),
+            idle: Rc::default(),
+        }
+    }
+
+    /// Sets how many connections are open at a time, for all clones. An idle one is
+    /// closed where a new one would exceed it.
+    pub fn set_max_open(&self, max_open: usize) {
+        self.max_open.set(max_open);
     }
 
     /// Sets the size in bytes of the largest answer that is read.
@@ -125,21 +163,35 @@
         self.open().await.is_some()
     }
 
-    async fn open(&self) -> Option<TcpStream> {
-        let connecting = TcpStream::connect(self.address);
-        let stream = self.kernel.clock().timeout(CONNECT_TIME, connecting).await;
-        let stream = stream.ok()?.ok()?;
+    /// A new connection, with what counts it as open.
+    async fn open(&self) -> Option<(TcpStream, Place)> {
+        let opening = async {
+            let open = self.take_place().await;
+            Some((TcpStream::connect(self.address).await.ok()?, open))
+        };
+        let (stream, open) = self.kernel.clock().timeout(CONNECT_TIME, opening).await.ok()??;
         stream.set_nodelay(true).ok()?;
         kernel::detect_silence(&stream, SILENCE).ok()?;
-        Some(stream)
+        Some((stream, open))
+    }
+
+    /// Waits until one more connection is within the bound.
+    async fn take_place(&self) -> Place {
+        while self.open.get() >= self.max_open.get() {
+            let longest_idle = self.idle.borrow().iter().map(|idle| idle.since).min();
+            self.idle.borrow_mut().retain(|idle| Some(idle.since) != longest_idle);
+            self.kernel.clock().sleep(CLOSE_POLL).await;
+        }
+        Place::new(&self.open)
     }
 
     async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
-        let stream = TokioIo::new(self.open().await?);
-        let (mut sender, connection) = http1::handshake(stream).await.ok()?;
+        let (stream, open) = self.open().await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         self.kernel.start(async move {
             // The error reaches the request that was under way.
             let _ = connection.await;
+            drop(open);
         });
         sender.ready().await.ok()?;
         Some(sender)
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -15,8 +15,10 @@
     head_time: Duration::from_millis(300),
     head_bytes: 16 * 1024,
     headers: 16,
-    connections: 4,
+    connections: MAX_OPEN,
 };
+/// Connections that the servers here take at a time.
+const MAX_OPEN: usize = 4;
 
 fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
@@ -171,3 +173,49 @@
     let closed = listener().local_addr().expect("it was bound");
     assert_eq!(ask(closed), Err(Fault::NotSent));
 }
+
+/// Issue 10: what the operator states of a target's connections was used nowhere.
+/// A request that needs a new connection closes an idle one first.
+#[test]
+fn a_client_keeps_to_the_connections_that_the_other_side_takes() {
+    const REQUESTS: usize = 40;
+    let (open, most) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let kernel = Kernel::new().expect("a runtime");
+    kernel.run(async {
+        let listener = listener();
+        let address = listener.local_addr().expect("it is bound");
+        listener.set_nonblocking(true).expect("a socket option");
+        let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+        let (counted, highest, server) = (open.clone(), most.clone(), kernel.clone());
+        kernel.start(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                counted.set(counted.get() + 1);
+                highest.set(highest.get().max(counted.get()));
+                server.start(answer_until_closed(stream, counted.clone()));
+            }
+        });
+        let client = Client::new(kernel.clone(), address, MAX_OPEN * 2);
+        client.set_max_open(MAX_OPEN);
+        for number in 0..REQUESTS {
+            let reuse = [Reuse::Never, Reuse::Allowed][number % 2];
+            let request = || Request::builder().header("host", "a").body(Bytes::new());
+            let pair = [request(), request()].map(|request| request.expect("valid"));
+            let [first, second] = pair.map(|request| client.send(request, reuse));
+            let answers = futures_lite::future::zip(first, second).await;
+            assert!(answers.0.is_ok() && answers.1.is_ok(), "request {number}: {answers:?}");
+        }
+    });
+    assert!(most.get() <= MAX_OPEN, "{} connections at a time", most.get());
+}
+
+/// Answers each request on a connection until the other side closes it.
+async fn answer_until_closed(mut stream: tokio::net::TcpStream, open: Rc<Cell<usize>>) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut head = [0; 1024];
+    while let Ok(1..) = stream.read(&mut head).await {
+        if stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.is_err() {
+            break;
+        }
+    }
+    open.set(open.get() - 1);
+}
