Soak: links between daemons are silenced, refused, delayed and cut

A daemon can tell others an address of its own (--peer-address), so that the loopback proxy stands before it, datagrams included. Three such faults are drawn after the twelve steps of a seed, which stay as they were. A request lost by a planned stop is now excused only by faults at the hosts on its way, not by any fault anywhere: with twelve faults in a round the check judged next to nothing.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -250,7 +250,7 @@
         node,
         incarnation: 0,
         state: State::Alive,
-        address: settings.peer_listen.to_string().into(),
+        address: settings.peer_address.unwrap_or(settings.peer_listen).to_string().into(),
         data_centre: settings.data_centre.clone(),
         service: target.map_or("".into(), |target| target.service.clone()),
         slots: target.map_or(0, |target| target.slots),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,6 +15,9 @@
     pub listen: SocketAddr,
     /// Address for other daemons, TCP and UDP.
     pub peer_listen: SocketAddr,
+    /// Address that other daemons are told, where a relay stands before
+    /// `peer_listen`.
+    pub peer_address: Option<SocketAddr>,
     /// Address of the daemon's own pages.
     pub admin: SocketAddr,
     /// The daemon's data centre.
@@ -110,9 +113,15 @@
     Setting { flag, unit, default, help }
 }
 
-const SETTINGS: [Setting; 20] = [
+const SETTINGS: [Setting; 21] = [
     setting("listen", "IP:PORT", "127.0.0.1:8000", "address for callers"),
     setting("peer-listen", "IP:PORT", "127.0.0.1:8100", "address for other daemons, TCP and UDP"),
+    setting(
+        "peer-address",
+        "IP:PORT",
+        "",
+        "address that other daemons are told, TCP and UDP; empty for that of --peer-listen",
+    ),
     setting("admin", "IP:PORT", "127.0.0.1:8200", "address of the daemon's own pages"),
     setting("data-centre", "name", "", "data centre of this host; required"),
     setting("service", "name", "", "service of the target beside the daemon; empty for none"),
@@ -333,6 +342,7 @@
     fn try_from(mut raw: Raw) -> Result<Self, Findings> {
         let listen = raw.require("listen", scan_address);
         let peer_listen = raw.require("peer-listen", scan_address);
+        let peer_address = raw.parse("peer-address", scan_address);
         let admin = raw.require("admin", scan_address);
         let data_centre = raw.require("data-centre", scan_name);
         let target = raw.target();
@@ -352,6 +362,7 @@
             Some(Self {
                 listen: listen?,
                 peer_listen: peer_listen?,
+                peer_address,
                 admin: admin?,
                 data_centre: data_centre?,
                 target,
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -57,6 +57,16 @@
         receiver.recv().map_err(std::io::Error::other)?
     }
 
+    /// Starts a proxy that passes on datagrams, too, at the same address. They are
+    /// dropped while bytes are held back or connections refused.
+    pub fn spawn_with_datagrams(to: SocketAddr) -> std::io::Result<Self> {
+        let proxy = Self::spawn(to)?;
+        let socket = std::net::UdpSocket::bind(proxy.address)?;
+        let fault = proxy.fault.clone();
+        std::thread::spawn(move || pass_datagrams(&socket, to, &fault));
+        Ok(proxy)
+    }
+
     /// Starts a proxy on `listener` for the server at `to`.
     pub fn start(
         kernel: &Kernel,
@@ -101,6 +111,19 @@
     }
 }
 
+fn pass_datagrams(socket: &std::net::UdpSocket, to: SocketAddr, fault: &Present) {
+    let mut buffer = [0; 64 * 1024];
+    while let Ok(length) = socket.recv(&mut buffer) {
+        match fault.get() {
+            Fault::Freeze | Fault::Refuse => continue,
+            Fault::Delay(time) => std::thread::sleep(time),
+            Fault::None | Fault::CutRequest(_) | Fault::CutAnswer(_) => {}
+        }
+        // A datagram may be lost, here as on any link.
+        let _ = socket.send_to(&buffer[..length], to);
+    }
+}
+
 async fn pass_both(kernel: Kernel, client: TcpStream, to: SocketAddr, fault: Present) {
     let Ok(server) = TcpStream::connect(to).await else {
         return;
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 
-use super::host::{Place, Seen};
+use super::host::{Made, Place, Seen};
 use super::load::{DEADLINE, Kind, Record};
 
 /// Targets that a request may be sent to.
@@ -143,16 +143,20 @@
 }
 
 /// Whether a request that a target had begun lost its answer because its entry
-/// was asked to stop, and nothing else went wrong.
+/// was asked to stop, and nothing else went wrong at the hosts on its way.
 fn is_lost_by_stop(record: &Record, runs: &[&Run], seen: &Seen) -> bool {
     if !record.is_lost || runs.is_empty() {
         return false;
     }
     let from = record.sent_ms.saturating_sub(CONTACT_MS);
-    let mut near =
-        seen.made.iter().filter(|made| made.from_ms < record.done_ms && made.to_ms > from);
+    let is_on_way = |place: Place| match place {
+        Place::Host(host) => host == record.entry || runs.iter().any(|run| run.host == host),
+        Place::Store => false,
+    };
+    let is_near = |made: &&Made| made.from_ms < record.done_ms && made.to_ms > from;
+    let mut near = seen.made.iter().filter(is_near).filter(|made| is_on_way(made.place));
     let entry = Place::Host(record.entry);
-    let is_stopping = |made: &super::host::Made| made.is_stop && made.place == entry;
+    let is_stopping = |made: &Made| made.is_stop && made.place == entry;
     let mut any = false;
     let all_stops = near.all(|made| {
         any |= is_stopping(made);
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -85,6 +85,7 @@
     process: Option<Process>,
     to_target: Proxy,
     to_store: Proxy,
+    to_peer: Proxy,
 }
 
 /// A store, and hosts with a daemon and a target each. Everything ends when it is
@@ -332,12 +333,15 @@
     let [callers, peers, admin, target, control, ready] = std::array::from_fn(|_| free_address());
     let proxy = |to| Proxy::spawn(to).map_err(|error| format!("no proxy: {error}"));
     let (to_target, to_store) = (proxy(target)?, proxy(store)?);
+    let to_peer = Proxy::spawn_with_datagrams(peers);
+    let to_peer = to_peer.map_err(|error| format!("no proxy: {error}"))?;
     let service = SERVICES[number % SERVICES.len()];
     let seed = (seed * 100 + number as u64).to_string();
     let daemon = [
         ("interface", "platform".into()),
         ("listen", callers.to_string()),
         ("peer-listen", peers.to_string()),
+        ("peer-address", to_peer.address().to_string()),
         ("admin", admin.to_string()),
         ("announce", control.to_string()),
         ("ready", ready.to_string()),
@@ -371,6 +375,7 @@
         process: None,
         to_target,
         to_store,
+        to_peer,
     })
 }
 
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -18,6 +18,11 @@
 /// Time in which a process is sure to have taken over its signals, in milliseconds.
 const START_MS: u64 = 1000;
 
+/// A link on which bytes come late.
+const DELAY: proxy::Fault = proxy::Fault::Delay(Duration::from_millis(60));
+/// A link on which answers are cut: after some whole ones, in the midst of one.
+const CUT: proxy::Fault = proxy::Fault::CutAnswer(300);
+
 /// What ends a fault.
 pub(super) enum Undo {
     StartDaemon(usize),
@@ -28,6 +33,7 @@
     StartTarget(usize),
     ResetTarget(usize),
     OpenTarget(usize),
+    OpenPeer(usize),
     OpenStore(usize),
     ResetStore,
     Nothing,
@@ -73,10 +79,12 @@
             FailTarget(host) => self.set_target(host, json!({ "fails": "errors" }), step),
             ShedTarget(host) => self.set_target(host, json!({ "fails": "shed" }), step),
             SilenceTarget(host) => self.set_way(host, proxy::Fault::Freeze, step),
-            DelayTarget(host) => {
-                self.set_way(host, proxy::Fault::Delay(Duration::from_millis(60)), step)
-            }
-            CutTarget(host) => self.set_way(host, proxy::Fault::CutAnswer(300), step),
+            DelayTarget(host) => self.set_way(host, DELAY, step),
+            CutTarget(host) => self.set_way(host, CUT, step),
+            SilencePeer(host) => self.set_link(host, proxy::Fault::Freeze, step),
+            RefusePeer(host) => self.set_link(host, proxy::Fault::Refuse, step),
+            DelayPeer(host) => self.set_link(host, DELAY, step),
+            CutPeer(host) => self.set_link(host, CUT, step),
             SilenceStore(host) => {
                 self.hosts[host].to_store.set(proxy::Fault::Freeze);
                 (Place::Host(host), step.lasts, Undo::OpenStore(host))
@@ -127,6 +135,11 @@
         (Place::Host(host), step.lasts, Undo::OpenTarget(host))
     }
 
+    fn set_link(&self, host: usize, fault: proxy::Fault, step: &Step) -> (Place, Duration, Undo) {
+        self.hosts[host].to_peer.set(fault);
+        (Place::Host(host), step.lasts, Undo::OpenPeer(host))
+    }
+
     /// Undoes what is over, and starts a daemon again that has ended by itself, as
     /// the platform does.
     pub(in crate::soak) fn undo_due(&mut self, now: Duration) -> Result<(), Box<str>> {
@@ -184,6 +197,7 @@
                 post(self.hosts[host].target, "/lab", &json!({ "pace": 1.0, "fails": "" }));
             }
             Undo::OpenTarget(host) => self.hosts[host].to_target.set(proxy::Fault::None),
+            Undo::OpenPeer(host) => self.hosts[host].to_peer.set(proxy::Fault::None),
             Undo::OpenStore(host) => self.hosts[host].to_store.set(proxy::Fault::None),
             Undo::ResetStore => {
                 let none = json!({
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -6,6 +6,9 @@
 const ROUND: Duration = Duration::from_secs(12);
 /// Steps of a round.
 const STEPS: usize = 12;
+/// Faults of links between daemons beside them, drawn after them, so that a seed
+/// keeps its steps.
+const LINK_STEPS: usize = 3;
 
 /// A fault at a time of a round.
 #[derive(Debug, Clone)]
@@ -62,18 +65,28 @@
     StoreForgets,
     /// The operators change the configuration.
     Configure,
+    /// Bytes and datagrams to the daemon from the others are held back or lost; its
+    /// own to them are not.
+    SilencePeer(usize),
+    /// New connections of the others to the daemon are refused, datagrams are lost.
+    RefusePeer(usize),
+    /// Bytes and datagrams to the daemon come late.
+    DelayPeer(usize),
+    /// Connections of the others to the daemon are cut in the midst of answers.
+    CutPeer(usize),
 }
 
 /// Draws a schedule.
 pub(super) fn draw(seed: u64, hosts: usize) -> Vec<Step> {
     let mut random = fastrand::Rng::with_seed(seed);
-    let mut steps: Vec<Step> = (0..STEPS)
-        .map(|_| Step {
-            at: ROUND.mul_f64(random.f64()),
-            lasts: Duration::from_millis(random.u64(200..3500)),
-            fault: pick(&mut random, hosts),
-        })
-        .collect();
+    let mut draw = |pick: fn(&mut fastrand::Rng, usize) -> Fault| Step {
+        at: ROUND.mul_f64(random.f64()),
+        lasts: Duration::from_millis(random.u64(200..3500)),
+        fault: pick(&mut random, hosts),
+    };
+    let picks = std::iter::repeat_n(pick as fn(&mut _, _) -> _, STEPS);
+    let picks = picks.chain(std::iter::repeat_n(pick_link as fn(&mut _, _) -> _, LINK_STEPS));
+    let mut steps: Vec<Step> = picks.map(&mut draw).collect();
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -104,3 +117,13 @@
         _ => Fault::Configure,
     }
 }
+
+fn pick_link(random: &mut fastrand::Rng, hosts: usize) -> Fault {
+    let host = random.usize(..hosts);
+    match random.u8(..4) {
+        0 => Fault::SilencePeer(host),
+        1 => Fault::RefusePeer(host),
+        2 => Fault::DelayPeer(host),
+        _ => Fault::CutPeer(host),
+    }
+}
