--- a/crates/member/src/detect.rs
+++ b/crates/member/src/detect.rs
@@ -131,7 +131,8 @@
             last_tick: now,
             next_ping: now,
             next_lost_ping: now + PING_LOST_EVERY,
-            next_sync: now + SYNC_SOON,
+            // A node that has just started knows nothing that it could wait for.
+            next_sync: now,
             next_news: now,
             doubt: 0,
         }
