Guard: a new configuration has the target looked at; test of the first contact

Cause: after a start the health page is known only with the configuration, and a look without one showed nothing and put the next off by 100 ms.

--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -88,6 +88,8 @@
             Ask::Endpoints(endpoints) => {
                 self.endpoints = endpoints;
                 self.bound_connections();
+                // The health page may have become known by it.
+                self.looked_at = None;
             }
             // What waits is looked at after each message.
             Ask::WarmUp => {}
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use member::{Absence, Action, Member, Members, Message, State};
+use member::{Absence, Action, Kind, Member, Members, Message, State};
 use quickcheck::quickcheck;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -242,3 +242,27 @@
         one.digest() == other.digest() && one.digests() == other.digests()
     }
 }
+
+/// Pattern: all processes start at the same moment. Issue 10: one that had been
+/// contacted by the first one up knew only that one for a second, and sent it all.
+#[test]
+fn a_new_node_compares_lists_at_its_first_contact() {
+    let now = Instant::now();
+    let mut first_up = Members::new(now, member(2), 2);
+    first_up.merge(now, (3..=6).map(member).collect());
+    let contact = Message {
+        kind: Kind::News,
+        sequence: 0,
+        sender: first_up.own().clone(),
+        subject: 0,
+        updates: Vec::new(),
+        digest: first_up.digest(),
+    };
+    let mut new = Members::new(now, member(1), 1);
+    let soon = now + Duration::from_millis(5);
+    let with = member(2).address;
+    assert_eq!(new.receive(soon, contact.clone()), [Action::Sync { with }]);
+    new.merge(soon, first_up.differing(new.digests(), 1000));
+    assert_eq!(new.serving("desk").count(), 6);
+    assert_eq!(new.receive(soon, contact), [], "the next comparison is due in a second");
+}
