Route: an entry uses 64 targets of a service at most

Cause: an entry came to hold a connection to each target of a service and followed the load of each, which CAPACITY named as what breaks first. Targets are ranked by a hash of entry and target; half are taken from near. Weighed: groups by number (uneven when members come and go), a random set drawn anew (does not heal without moving connections).

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -136,7 +136,7 @@
     storage::start(kernel, store.map(|settings| Store::new(kernel, settings)));
     journal::start(kernel, node);
     peers::start(kernel);
-    router::start(kernel, settings, seed);
+    router::start(kernel, node, settings, seed);
     let discipline = match settings.policy {
         Policy::Bronzeport => Discipline::Deadline,
         _ => Discipline::Fifo,
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -10,7 +10,7 @@
 use member::Member;
 use route::{
     Attempt, Budget, Budgets, Call, Choice, Ending, Load, Node, Past, Policy, Pool, Retry, Shares,
-    Situation, Target, decide_retry,
+    Situation, Target, decide_retry, pick_subset,
 };
 
 use crate::journal::Belief;
@@ -98,13 +98,14 @@
 }
 
 /// Starts the service.
-pub(crate) fn start(kernel: &Kernel, settings: &Settings, seed: u64) {
+pub(crate) fn start(kernel: &Kernel, node: Node, settings: &Settings, seed: u64) {
     let policy = settings.policy;
     let inbox = kernel.register::<Ask>(names::ROUTER);
     let mailbox = kernel.service::<Ask>(names::ROUTER);
     let task = Task {
         kernel: kernel.clone(),
         mailbox: mailbox.clone(),
+        node,
         policy,
         data_centre: settings.data_centre.clone(),
         transfer_cost: settings.transfer_cost,
@@ -130,6 +131,7 @@
 struct Task {
     kernel: Kernel,
     mailbox: Mailbox<Ask>,
+    node: Node,
     policy: Policy,
     data_centre: Box<str>,
     /// What a megabyte between data centres counts for, in seconds.
@@ -321,7 +323,7 @@
             slots: member.slots,
             is_near: member.data_centre == self.data_centre,
         });
-        targets.collect()
+        pick_subset(self.node, targets)
     }
 
     fn set_members(&mut self, members: Vec<(Member, Duration)>) {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -18,7 +18,7 @@
 /// Shortest time before a hedge.
 const HEDGE_MIN: Duration = Duration::from_millis(2);
 /// Most targets whose cost is worked out for one choice.
-const MAX_COMPARED: usize = 16;
+pub(crate) const MAX_COMPARED: usize = 16;
 
 const BYTES_PER_MEGABYTE: f64 = 1e6;
 /// Random part of a cost.
