Admit, route: a name and a comment; the test of few connections counts orders

The test counted runs of repeatable requests, which may be cancelled or hedged beside each other; orders are not. It fails without the gate's bound, as before.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -105,7 +105,7 @@
     running: BTreeSet<Ticket>,
     queue: Queue,
     /// Requests that later ones have pushed back too far, to be refused next.
-    hopeless: Vec<Ticket>,
+    pushed_back: Vec<Ticket>,
     /// How many times as long as usual work takes now.
     pace: f64,
     is_leaving: bool,
@@ -127,7 +127,7 @@
             discipline,
             running: BTreeSet::new(),
             queue: Queue::default(),
-            hopeless: Vec::new(),
+            pushed_back: Vec::new(),
             pace: 1.0,
             is_leaving: false,
         }
@@ -187,7 +187,7 @@
     /// What to do with waiting requests now. Call until it is [`Next::Idle`].
     pub fn next(&mut self, now: Instant) -> Next {
         self.limit.warm_up(now);
-        while let Some(ticket) = self.hopeless.pop() {
+        while let Some(ticket) = self.pushed_back.pop() {
             if self.queue.remove(ticket) {
                 return Next::Expire(ticket);
             }
@@ -317,7 +317,7 @@
             return Verdict::Refuse(Refusal::Late { retry_after });
         }
         self.queue.push(waiting);
-        self.hopeless.extend(self.last_in_vain(now));
+        self.pushed_back.extend(self.last_in_vain(now));
         Verdict::Wait
     }
 
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -355,9 +355,9 @@
 }
 
 /// Writes a configuration with one path, as the operator does.
-fn publish(mesh: &Mesh, prefix: &str, services: &serde_json::Value) {
+fn publish(mesh: &Mesh, prefix: &str, kind: &str, services: &serde_json::Value) {
     let path = json!({
-        "name": "r", "prefix": prefix, "kind": "safe", "timeout": "5s",
+        "name": "r", "prefix": prefix, "kind": kind, "timeout": "5s",
         "service": "desk", "max_attempts": 2,
     });
     let config = json!({
@@ -379,14 +379,15 @@
     let mesh = mesh();
     // Two of three connections are for looks at the health page.
     let services = json!([{ "name": "desk", "health_path": "/healthz", "max_connections": 3 }]);
-    publish(&mesh, "/slow/", &services);
+    // Orders are sent to one target each, and are not given up there.
+    publish(&mesh, "/order/", "unsafe", &services);
     let is_new = || call(mesh.callers(0), "GET", "/read/x", "gone", 500).status == 404;
     wait_until(LIMIT, is_new).expect("the configuration is in force");
     std::thread::scope(|scope| {
-        for number in 0..6 {
+        for number in 0..48 {
             let entry = mesh.callers(number % HOSTS);
             let id = format!("s-{number}");
-            scope.spawn(move || call(entry, "GET", "/slow/x", &id, 4500).status);
+            scope.spawn(move || call(entry, "POST", "/order/x", &id, 4500).status);
         }
     });
     std::thread::sleep(Duration::from_millis(50));
@@ -403,7 +404,7 @@
 #[test]
 fn a_target_whose_health_page_is_not_known_stays_in_use() {
     let mesh = mesh();
-    publish(&mesh, "/read/", &json!([]));
+    publish(&mesh, "/read/", "safe", &json!([]));
     let is_new = || call(mesh.callers(0), "GET", "/slow/x", "gone", 500).status == 404;
     wait_until(LIMIT, is_new).expect("the configuration is in force");
     let _before = mesh.daemon_lines(0);
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -17,7 +17,7 @@
 /// Most targets of one service that an entry uses: enough to compare as many as a
 /// choice does while three of four are away, ejected or full.
 pub const MAX_USED: usize = 4 * MAX_COMPARED;
-/// Part of them that is taken from the entry's own data centre first.
+/// One of this many is taken from the entry's own data centre first.
 const NEAR_PART: usize = 2;
 
 /// The targets that an entry uses of all that serve.
