--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -212,7 +212,12 @@
     let call = std::thread::spawn(move || call(entry, "GET", "/slow/x", "s-1", 4000));
     std::thread::sleep(Duration::from_millis(300));
     mesh.signal_daemon(1, "TERM");
-    assert!(raw(mesh.ready(1), b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").contains(" 503 "));
+    // A question may reach the process before it has taken the signal. Others are
+    // told to stay away while the request is still being worked on.
+    let ask = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let is_unready = || raw(mesh.ready(1), ask).contains(" 503 ");
+    wait_until(LIMIT, is_unready).expect("it tells that it is not ready");
+    assert!(!call.is_finished(), "it told so only after the request had ended");
     std::thread::sleep(Duration::from_millis(300));
     mesh.signal_daemon(1, "TERM");
     let seen = call.join().expect("the caller gets an answer");
