Gate: a patient request is not given up while its turn still comes

Found by reading the change again, in the rule of today that what later requests push back too far is refused at once: it counted a patient request, which waits last until it is due and then goes first, among those in vain. Only urgent requests are judged now, by those that run before them.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -195,12 +195,13 @@
         if !self.has_free_slot() {
             return Next::Idle;
         }
+        let present = self.present(now);
         if self.discipline == Discipline::Deadline
-            && let Some(overdue) = self.queue.pop_overdue(&self.present(now))
+            && let Some(overdue) = self.queue.pop_overdue(&present)
         {
             return Next::Expire(overdue.ticket);
         }
-        let Some(next) = self.queue.pop(&self.present(now)) else {
+        let Some(next) = self.queue.pop(&present) else {
             return Next::Idle;
         };
         self.running.insert(next.ticket);
@@ -321,12 +322,12 @@
         Verdict::Wait
     }
 
-    /// The request that runs last, if the others leave it no time. Where the latest
-    /// go first it is not the one that has just arrived.
+    /// The urgent request that runs last, if the others leave it no time. Where the
+    /// latest go first it is not the one that has just arrived.
     fn last_in_vain(&self, now: Instant) -> Option<Ticket> {
         let present = self.present(now);
-        let last = self.queue.last(&present)?;
-        let start = now + self.wait_behind(self.queue.len() - 1);
+        let last = self.queue.last_urgent(&present)?;
+        let start = now + self.wait_behind(self.queue.ahead_of(&last, &present));
         let is_in_vain = start + present.needed_at_best(last.work) > last.deadline;
         is_in_vain.then_some(last.ticket)
     }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -127,9 +127,11 @@
         Some(self.waiting.swap_remove(place))
     }
 
-    /// The request that runs last.
-    pub(crate) fn last(&self, present: &Present) -> Option<Waiting> {
-        self.waiting.iter().max_by_key(|waiting| key_of(waiting, present)).copied()
+    /// The urgent request that runs last. A patient one has its turn once it is due,
+    /// whatever comes before it now.
+    pub(crate) fn last_urgent(&self, present: &Present) -> Option<Waiting> {
+        let urgent = self.waiting.iter().filter(|waiting| waiting.class == Class::Urgent);
+        urgent.max_by_key(|waiting| key_of(waiting, present)).copied()
     }
 
     /// Requests that would run before a new one.
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -122,6 +122,32 @@
     assert!(least.as_millis() >= 1500, "one was refused {least:?} before its deadline");
 }
 
+/// Pattern: a patient request waits beside urgent ones that are late already and come
+/// at more than the target carries. It goes ahead of them when its own time comes near,
+/// so that they push it back in vain.
+#[test]
+fn a_patient_request_is_not_given_up_while_its_turn_still_comes() {
+    let start = Instant::now();
+    let mut gate = open_gate(1);
+    let patient = Request { class: Class::Patient, ..request(start, 1, 1) };
+    assert_eq!(gate.arrive(start, request(start, 0, 1)), Verdict::Start);
+    gate.finish(start, 0, End::Answered(WORK));
+    assert_eq!(gate.arrive(start, request(start, 2, 1)), Verdict::Start);
+    assert_eq!(gate.arrive(start, patient), Verdict::Wait);
+    for ticket in 10..80 {
+        let late = Request { deadline: start + DEADLINE, aim: start, ..request(start, ticket, 1) };
+        gate.arrive(start, late);
+        assert_ne!(gate.next(start), Next::Expire(1), "{ticket} pushed it back");
+    }
+    let due = start + DEADLINE - 4 * WORK;
+    gate.finish(due, 2, End::Answered(WORK));
+    let mut next = gate.next(due);
+    while let Next::Expire(_) = next {
+        next = gate.next(due);
+    }
+    assert_eq!(next, Next::Start(1));
+}
+
 /// Pattern: requests that others wait for, and such as are worth more, come to a
 /// target where a queue of less urgent ones stands.
 #[test]
