--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -5,6 +5,7 @@
 //! request that went badly are all written; of the others, those whose ids fall
 //! into the sample, which is the same on all daemons.
 
+mod allowance;
 mod event;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -16,6 +17,7 @@
 pub(crate) use event::{ARRIVED, Belief, Event, Inside, outcome_text, reason_text};
 
 use crate::{logs, names};
+use allowance::Allowance;
 use event::Weight;
 
 /// Most requests remembered whose end is known, about 600 bytes each.
@@ -24,9 +26,6 @@
 const MAX_OPEN: usize = 4_000;
 /// One of this many ids has its lines written whatever its end.
 const SAMPLE: u64 = 32;
-/// Lines about requests that are written in a second, and in a burst.
-const LINES_PER_SECOND: f64 = 60.0;
-const LINES_BURST: f64 = 240.0;
 /// Time after which dropped lines are reported.
 const REPORT_EVERY: Duration = Duration::from_secs(10);
 
@@ -44,7 +43,6 @@
 pub(crate) struct Entry {
     at: SystemTime,
     pub(crate) event: Event,
-    is_written: bool,
 }
 
 /// A request whose end is not known.
@@ -65,8 +63,7 @@
         by_age: BTreeMap::new(),
         opened: 0,
         ended: VecDeque::new(),
-        tokens: LINES_BURST,
-        filled: now,
+        allowance: Allowance::new(now),
         dropped: 0,
         reported: now,
     };
@@ -82,8 +79,7 @@
     /// Requests opened since the start, which numbers the next.
     opened: u64,
     ended: VecDeque<(Box<str>, Vec<Entry>)>,
-    tokens: f64,
-    filled: Instant,
+    allowance: Allowance,
     dropped: u64,
     reported: Instant,
 }
@@ -101,14 +97,13 @@
     }
 
     fn note(&mut self, id: Box<str>, event: Event) {
-        let weight = event.weight();
         let open = self.open.entry(id.clone()).or_insert_with(|| {
             self.opened += 1;
             self.by_age.insert(self.opened, id.clone());
             Open { number: self.opened, entries: Vec::new() }
         });
-        open.entries.push(Entry { at: SystemTime::now(), event, is_written: false });
-        match weight {
+        open.entries.push(Entry { at: SystemTime::now(), event });
+        match weigh_last(&open.entries) {
             Weight::Under => self.forget_open(),
             Weight::Usual => self.end(id, false),
             Weight::Bad => self.end(id, true),
@@ -126,15 +121,12 @@
     }
 
     fn end(&mut self, id: Box<str>, is_bad: bool) {
-        let Some(Open { number, mut entries }) = self.open.remove(&id) else {
+        let Some(Open { number, entries }) = self.open.remove(&id) else {
             return;
         };
         self.by_age.remove(&number);
         if is_bad || is_sampled(&id) {
-            for entry in entries.iter_mut().filter(|entry| !entry.is_written) {
-                entry.is_written = true;
-                self.write(&id, entry);
-            }
+            self.write(&id, &entries);
         }
         if self.ended.len() == MAX_ENDED {
             self.ended.pop_front();
@@ -142,17 +134,23 @@
         self.ended.push_back((id, entries));
     }
 
-    fn write(&mut self, id: &str, entry: &Entry) {
+    /// Writes all lines of a request, or only those that tell how it went if too
+    /// many requests go badly.
+    fn write(&mut self, id: &str, entries: &[Entry]) {
         let now = self.kernel.clock().now();
-        let earned = (now - self.filled).as_secs_f64() * LINES_PER_SECOND;
-        self.tokens = (self.tokens + earned).min(LINES_BURST);
-        self.filled = now;
-        if self.tokens < 1.0 {
-            self.dropped += 1;
-            metrics::counter!("bronzeport_log_lines_dropped_total", "cause" => "rate").increment(1);
-        } else {
-            self.tokens -= 1.0;
+        let mut count = 0;
+        for index in
+            self.allowance.take(now, entries.len(), |index| entries[index].event.is_result())
+        {
+            let entry = &entries[index];
             logs::write_request_line(self.node, id, millis_of(entry.at), &entry.event);
+            count += 1;
+        }
+        let dropped = (entries.len() - count) as u64;
+        if dropped > 0 {
+            self.dropped += dropped;
+            metrics::counter!("bronzeport_log_lines_dropped_total", "cause" => "rate")
+                .increment(dropped);
         }
         if self.dropped > 0 && now - self.reported > REPORT_EVERY {
             log::warn!("{} lines about requests were not written: too many a second", self.dropped);
@@ -169,6 +167,18 @@
     }
 }
 
+/// What the last decision about a request means for its lines. Where it arrived
+/// from its caller, only the caller's answer ends it: the guard beside may have
+/// refused it before another took it.
+fn weigh_last(entries: &[Entry]) -> Weight {
+    let Some(last) = entries.last() else { return Weight::Under };
+    let is_entry = entries.iter().any(|entry| matches!(entry.event, Event::Arrived { .. }));
+    match is_entry && !matches!(last.event, Event::Ended { .. } | Event::Left { .. }) {
+        true => Weight::Under,
+        false => last.event.weight(),
+    }
+}
+
 /// Whether an id's lines are written whatever its end; the same on all daemons.
 fn is_sampled(id: &str) -> bool {
     once::fingerprint("", "", id, b"").is_multiple_of(SAMPLE)
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -149,6 +149,18 @@
         }
     }
 
+    /// Whether it tells how the request went at the target here or for its caller.
+    pub(super) fn is_result(&self) -> bool {
+        matches!(
+            self,
+            Self::Ended { .. }
+                | Self::Left { .. }
+                | Self::Refused { .. }
+                | Self::Ran { .. }
+                | Self::Cancelled
+        )
+    }
+
     pub(super) fn weight(&self) -> Weight {
         match self {
             Self::Ended { outcome: Outcome::Ran, status, is_late: false, .. } if *status < 500 => {
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -226,17 +226,25 @@
     wait_until(LIMIT, || waited.borrow_mut().has_ended(1)).expect("it ends");
 }
 
-/// The lines of all daemons about an id, by the operators' own command.
-fn explain(mesh: &Mesh, id: &str) -> String {
+/// The lines of all daemons, by the operators' own command.
+fn request_lines(mesh: &Mesh) -> Vec<(Box<str>, cli::logs::Line)> {
     // Lines are gathered for 100 ms before they are written.
     std::thread::sleep(Duration::from_millis(300));
     let lines = (0..HOSTS).flat_map(|host| mesh.daemon_lines(host));
-    let parsed = lines.filter_map(|line| cli::logs::parse(&line));
-    let about = parsed.filter(|(found, _)| **found == *id).map(|(_, line)| line);
+    lines.filter_map(|line| cli::logs::parse(&line)).collect()
+}
+
+/// What the lines tell about an id, in order.
+fn story(lines: &[(Box<str>, cli::logs::Line)], id: &str) -> String {
+    let about = lines.iter().filter(|(found, _)| **found == *id).map(|(_, line)| line.clone());
     let texts = cli::logs::order(about.collect()).into_iter().map(|line| line.text());
     texts.collect::<Vec<_>>().join("\n")
 }
 
+fn explain(mesh: &Mesh, id: &str) -> String {
+    story(&request_lines(mesh), id)
+}
+
 #[test]
 fn a_request_refused_in_overload_is_explained_by_its_id() {
     let mesh = mesh();
@@ -254,11 +262,15 @@
         })
         .collect();
     let seen: Vec<_> = calls.into_iter().map(|call| call.join().expect("it ends")).collect();
-    let refused = seen.iter().find(|(seen, _)| seen.status == 503).expect("not all fit");
-    assert!(refused.0.retry_after.is_some());
-    let text = explain(&mesh, &refused.1);
-    assert!(text.contains(" refused ") && text.contains("in_flight="), "{text}");
-    assert!(text.contains(" ended ") && text.contains("status=503"), "{text}");
+    let refused: Vec<_> = seen.iter().filter(|(seen, _)| seen.status == 503).collect();
+    assert!(refused.len() >= 10, "not all fit");
+    let lines = request_lines(&mesh);
+    for (seen, id) in refused {
+        assert!(seen.retry_after.is_some(), "{id}");
+        let text = story(&lines, id);
+        assert!(text.contains(" refused ") && text.contains("in_flight="), "{id}: {text}");
+        assert!(text.contains(" ended ") && text.contains("status=503"), "{id}: {text}");
+    }
 }
 
 #[test]
