Lab: programs that run at a time claim blocks of ports

Cause: each program looked for free ports from pid * 131 on, and took what nobody listened on yet. Programs with close ids looked at the same ports, so that fleets got each other's. Four copies of the platform tests at a time: 18 of 60 tests failed, 'the daemons are not ready in time', and targets answered foreign requests.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,19 +1,15 @@
 //! A fleet on loopback: platform, targets and daemons as processes.
 
 use std::collections::HashSet;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
+use crate::ports::{free_address, free_addresses};
 use crate::process::{self, Process, args_of};
 
-/// Ports that fleets use.
-const FIRST_PORT: u16 = 10_000;
-const PORTS: u32 = 20_000;
-
 /// Times that the first publication of a fleet is tried.
 const PUBLISH_TRIES: u32 = 5;
 
@@ -116,15 +112,15 @@
         let log = log_path(plan.logs.as_deref(), "platform");
         let (standin, platform) = start_standin(plan.seed, log.as_deref())?;
         let mut fleet = Self { platform, standin, hosts: Vec::new(), plan };
-        fleet.prepare_hosts();
+        fleet.prepare_hosts()?;
         Ok(fleet)
     }
 
-    fn prepare_hosts(&mut self) {
+    fn prepare_hosts(&mut self) -> Result<(), Box<str>> {
         let services = self.plan.services.clone();
         for service in &services {
             for index in 0..service.targets {
-                let host = self.prepare_host(service, index);
+                let host = self.prepare_host(service, index)?;
                 self.hosts.push(host);
             }
         }
@@ -136,14 +132,15 @@
             file: "".into(),
         };
         for index in 0..self.plan.entries {
-            let host = self.prepare_host(&none, index);
+            let host = self.prepare_host(&none, index)?;
             self.hosts.push(host);
         }
+        Ok(())
     }
 
-    fn prepare_host(&self, service: &ServicePlan, index: usize) -> Host {
+    fn prepare_host(&self, service: &ServicePlan, index: usize) -> Result<Host, Box<str>> {
         let number = self.hosts.len();
-        let [callers, peers, admin, target] = free_addresses();
+        let [callers, peers, admin, target] = free_addresses()?;
         let centres = &self.plan.data_centres;
         let first_peers: Vec<String> =
             self.hosts.iter().take(3).map(|host| host.peers.to_string()).collect();
@@ -167,7 +164,7 @@
             ("service-us", service.service.as_micros().to_string()),
             ("seed", seed.to_string()),
         ];
-        Host {
+        Ok(Host {
             service: service.name.clone(),
             callers,
             peers,
@@ -178,7 +175,7 @@
             daemon_args: args_of("daemon", settings),
             target_args: args_of("target", target_flags),
             runs: Vec::new(),
-        }
+        })
     }
 
     /// Starts the targets and daemons of all hosts.
@@ -388,33 +385,9 @@
     None
 }
 
-/// An address that nothing listens on.
-pub fn free_address() -> SocketAddr {
-    let [address] = free_addresses();
-    address
-}
-
-/// Different addresses that nothing listens on, outside the range from which
-/// the system takes ports for outgoing connections.
-fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    std::array::from_fn(|_| next_free_address())
-}
-
-fn next_free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let first = std::process::id() * 131 % PORTS;
-    loop {
-        let offset = (first + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset as u16));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Starts the stand-in for the platform and gives its address.
 pub fn start_standin(seed: u64, log: Option<&Path>) -> Result<(Process, SocketAddr), Box<str>> {
-    let address = free_address();
+    let address = free_address()?;
     let flags = [("listen", address.to_string()), ("seed", seed.to_string())];
     let standin = process::start(&args_of("standin", flags), log)?;
     wait_for(address)?;
--- a/crates/lab/src/latency.rs
+++ b/crates/lab/src/latency.rs
@@ -9,8 +9,9 @@
 
 use serde_json::{Value, json};
 
-use crate::fleet::{Fleet, Plan, ServicePlan, free_address, wait_for};
+use crate::fleet::{Fleet, Plan, ServicePlan, wait_for};
 use crate::load::{Load, Summary};
+use crate::ports::free_address;
 use crate::process::{self, Process, args_of};
 use crate::tour::kind;
 
@@ -82,7 +83,7 @@
 
 /// Starts a relay to `to` and gives its address.
 fn start_relay(to: SocketAddr) -> Result<(Process, SocketAddr), Box<str>> {
-    let listen = free_address();
+    let listen = free_address()?;
     let flags = [("listen", listen.to_string()), ("to", to.to_string())];
     let process = process::start(&args_of("relay", flags), None)?;
     wait_for(listen)?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod latency;
 pub mod load;
 pub mod measure;
+pub mod ports;
 pub mod process;
 pub mod proxy;
 pub mod relay;
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -12,7 +12,8 @@
 use serde_json::{Value, json};
 use store::{Commit, Condition, Write};
 
-use crate::fleet::{free_address, get, knows, post, start_standin, wait_until, with_store};
+use crate::fleet::{get, knows, post, start_standin, wait_until, with_store};
+use crate::ports::free_addresses;
 use crate::process::{self, Process, args_of};
 use crate::proxy::Proxy;
 use crate::sidecar::unix_millis;
@@ -330,7 +331,7 @@
 }
 
 fn prepare(number: usize, store: SocketAddr, seed: u64) -> Result<Host, Box<str>> {
-    let [callers, peers, admin, target, control, ready] = std::array::from_fn(|_| free_address());
+    let [callers, peers, admin, target, control, ready] = free_addresses()?;
     let proxy = |to| Proxy::spawn(to).map_err(|error| format!("no proxy: {error}"));
     let (to_target, to_store) = (proxy(target)?, proxy(store)?);
     let to_peer = Proxy::spawn_with_datagrams(peers);
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -5,7 +5,8 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use lab::fleet::{free_address, wait_for, wait_until, with_store};
+use lab::fleet::{wait_for, wait_until, with_store};
+use lab::ports::free_addresses;
 use lab::soak::host::Mesh;
 use serde_json::json;
 
@@ -338,7 +339,7 @@
 #[test]
 fn standard_output_that_nobody_reads_delays_no_request() {
     let mesh = mesh();
-    let [callers, peers, admin] = std::array::from_fn(|_| free_address());
+    let [callers, peers, admin] = free_addresses().expect("ports are left");
     let flags = [
         ("--interface", "platform".to_owned()),
         ("--listen", callers.to_string()),
