--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -6,6 +6,7 @@
 use crate::Ticket;
 use crate::knee::Knee;
 use crate::limit::Limit;
+use crate::pace::Pace;
 use crate::queue::{Class, Present, Queue, Waiting};
 
 /// Most requests that wait, for each stated slot.
@@ -106,8 +107,7 @@
     queue: Queue,
     /// Requests that later ones have pushed back too far, to be refused next.
     pushed_back: Vec<Ticket>,
-    /// How many times as long as usual work takes now.
-    pace: f64,
+    pace: Pace,
     is_leaving: bool,
 }
 
@@ -128,7 +128,7 @@
             running: BTreeSet::new(),
             queue: Queue::default(),
             pushed_back: Vec::new(),
-            pace: 1.0,
+            pace: Pace::default(),
             is_leaving: false,
         }
     }
@@ -209,15 +209,22 @@
     }
 
     /// Takes in how many times as long as usual work takes now.
-    pub fn observe_pace(&mut self, pace: f64) {
-        self.pace = pace;
+    pub fn observe_pace(&mut self, now: Instant, pace: f64) {
+        self.pace.observe(now, pace);
     }
 
     fn present(&self, now: Instant) -> Present {
         let service = self.limit.service();
         let last_start = now + self.wait_behind(self.queue.len());
         let is_overfull = self.queue.first_deadline().is_some_and(|first| first < last_start);
-        Present { now, margin: service * DUE_FACTOR, service, pace: self.pace, is_overfull }
+        Present {
+            now,
+            margin: service * DUE_FACTOR,
+            service,
+            pace: self.pace.present(),
+            best_pace: self.pace.best(now),
+            is_overfull,
+        }
     }
 
     /// Refuses new requests from now on. Those that wait still run.
@@ -236,6 +243,7 @@
         self.stated = slots.max(1);
         self.limit = Limit::new(slots);
         self.knee = Knee::default();
+        self.pace = Pace::default();
         if !is_cold {
             self.limit.open();
         }
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -27,6 +27,7 @@
 mod hold;
 mod knee;
 mod limit;
+mod pace;
 mod queue;
 mod standing;
 
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -60,6 +60,8 @@
     pub(crate) service: Duration,
     /// How many times as long as usual work takes.
     pub(crate) pace: f64,
+    /// The same at the best pace that the target may be at again soon.
+    pub(crate) best_pace: f64,
     /// Whether more wait than can be answered before their deadlines.
     pub(crate) is_overfull: bool,
 }
@@ -80,9 +82,9 @@
         self.pace <= 1.0 || self.now + self.needed(work) <= deadline
     }
 
-    /// Time that a request needs if the target is at its usual pace by then.
+    /// Time that a request needs if the target is at its best pace by then.
     pub(crate) fn needed_at_best(&self, work: Option<Duration>) -> Duration {
-        self.needed_at(work, self.pace.min(1.0))
+        self.needed_at(work, self.best_pace)
     }
 
     fn needed_at(&self, work: Option<Duration>, pace: f64) -> Duration {
@@ -120,7 +122,7 @@
     }
 
     /// Takes a request that cannot be answered before its deadline any more, even
-    /// if the target is at its usual pace from now on.
+    /// if the target is at its best pace from now on.
     pub(crate) fn pop_overdue(&mut self, present: &Present) -> Option<Waiting> {
         let is_overdue = |w: &Waiting| w.deadline < present.now + present.needed_at_best(w.work);
         let place = self.waiting.iter().position(is_overdue)?;
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -191,14 +191,14 @@
     assert_eq!(gate.arrive(now, request(now, 1, 1)), Verdict::Start);
     let short = Request { deadline: now + AIM, ..request(now, 2, 1) };
     assert_eq!(gate.arrive(now, short), Verdict::Wait);
-    gate.observe_pace(7.0);
+    gate.observe_pace(now, 7.0);
     gate.finish(now, 1, End::Answered(WORK));
     assert_eq!(gate.next(now), Next::Idle, "it would end after 700 ms of 300");
     assert_eq!(gate.arrive(now, request(now, 3, 2)), Verdict::Wait);
     assert_eq!(gate.next(now), Next::Start(3), "one with more time goes first");
     gate.finish(now, 3, End::Answered(WORK));
     let later = now + Duration::from_millis(100);
-    gate.observe_pace(1.0);
+    gate.observe_pace(later, 1.0);
     assert_eq!(gate.next(later), Next::Start(2));
     let late = now + Duration::from_millis(250);
     assert_eq!(
@@ -206,3 +206,29 @@
         Verdict::Refuse(admit::Refusal::Late { retry_after: Duration::from_millis(100) })
     );
 }
+
+/// Pattern: a target is slow for seconds, and callers come whose answers would take
+/// longer than they have. After two seconds no better pace is to be expected, and they are
+/// told so while they have time to go elsewhere.
+#[test]
+fn what_cannot_end_at_a_lasting_slow_pace_is_refused_at_once() {
+    let start = Instant::now();
+    let mut gate = open_gate(4);
+    let short = |now, ticket| Request { deadline: now + 2 * AIM, ..request(now, ticket, 1) };
+    let (mut waited, mut refused) = (0, 0);
+    for millis in (100..5000).step_by(50) {
+        let now = start + Duration::from_millis(millis);
+        gate.observe_pace(now, 12.0);
+        match gate.arrive(now, short(now, millis)) {
+            Verdict::Start => panic!("it would take twice the time that it has"),
+            Verdict::Wait => waited += 1,
+            Verdict::Refuse(_) => refused += 1,
+        }
+        while let Next::Expire(_) = gate.next(now) {}
+        assert!(millis < 2100 || gate.queued() == 0, "{} wait at {millis} ms", gate.queued());
+    }
+    assert!(waited <= 40 && refused >= 58, "{waited} waited, {refused} refused at once");
+    let better = start + Duration::from_secs(5);
+    gate.observe_pace(better, 1.0);
+    assert_eq!(gate.arrive(better, short(better, 9)), Verdict::Start);
+}
--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -101,7 +101,7 @@
                 self.gate.open();
             }
             self.report = Some(Heard { pace, at: now });
-            self.gate.observe_pace(pace_factor(pace));
+            self.gate.observe_pace(now, pace_factor(pace));
         }
     }
 
