Member: a restart after the host's clock has jumped back is found at once

Cause: of two nodes at an address the one with the larger number counted as the later one, also when it was known to be gone, and numbers come from the time of day. A daemon that started anew after its host's clock had been set back was refused by all others for the ten minutes for which they remember the earlier start. Found by reading while the soak's clock faults were written; crates/member/tests/members.rs fails before (state None at all others after 3 s) and passes after. A number now only decides between nodes that are present. Ruled out: a node number without time, since late news of an earlier start would end the later one.

--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -271,8 +271,14 @@
         self.version += 1;
     }
 
-    /// A later node at an address means that the earlier one has stopped.
+    /// A later node at an address means that the earlier one has stopped. After a jump
+    /// of the host's clock the numbers tell nothing: a present node stays when one with
+    /// a larger number is said to be gone.
     fn replace_earlier(&mut self, now: Instant, member: &Member) {
+        let known = self.present_at(&member.address);
+        if !member.state.is_present() && known.is_some_and(|node| node != member.node) {
+            return;
+        }
         let earlier = self.addresses.insert(member.address.clone(), member.node);
         if let Some(earlier) = earlier.filter(|earlier| *earlier < member.node) {
             self.set_state(now, earlier, State::Left);
@@ -280,11 +286,17 @@
     }
 
     fn is_replaced(&self, member: &Member) -> bool {
-        let at_address = self.addresses.get(&member.address);
-        let is_later = at_address.is_some_and(|node| *node > member.node);
+        let is_later = self.present_at(&member.address).is_some_and(|node| node > member.node);
         is_later && !self.peers.contains_key(&member.node)
     }
 
+    /// The node at an address, if it is present.
+    fn present_at(&self, address: &str) -> Option<Node> {
+        let node = *self.addresses.get(address)?;
+        let peer = self.peers.get(&node)?;
+        peer.member.state.is_present().then_some(node)
+    }
+
     fn contradict(&mut self, said: &Member) {
         let is_wrong = said.state != self.own.state && said.incarnation >= self.own.incarnation;
         if !is_wrong || self.own.state == State::Left {
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -215,6 +215,41 @@
     assert_eq!(members.serving("desk").count(), 2);
 }
 
+/// Pattern: a host's clock jumps back and its daemon starts anew, so that the number of
+/// the new start is smaller. Issue 13: the others took it for an old one for ten minutes.
+#[test]
+fn a_restart_after_the_clock_has_jumped_back_is_found() {
+    let mut network = Network::new(8, 3);
+    network.run(Duration::from_secs(2));
+    network.lists.remove(&5);
+    network.run(Duration::from_millis(300));
+    let restarted = Member { node: 0, ..member(5) };
+    let mut members = Members::new(network.now, restarted, 9);
+    members.merge(network.now, vec![member(1), member(6)]);
+    network.lists.insert(0, members);
+    network.run(Duration::from_secs(3));
+    for at in [0, 1, 2, 3, 4, 6, 7, 8] {
+        assert_eq!(network.state(at, 0), Some(State::Alive), "at {at}");
+        assert!(network.state(at, 5).is_none_or(|state| state >= State::Lost), "at {at}");
+    }
+    network.run(Duration::from_secs(60));
+    assert_eq!(network.state(2, 0), Some(State::Alive), "a minute later");
+}
+
+/// Pattern: the same, with news of the earlier start that comes late.
+#[test]
+fn late_news_of_an_earlier_start_does_not_end_a_later_one_with_a_smaller_number() {
+    let now = Instant::now();
+    let mut members = Members::new(now, member(1), 1);
+    members.learn(now, Member { state: State::Left, ..member(5) });
+    let restarted = Member { node: 0, ..member(5) };
+    members.learn(now, member(5));
+    members.learn(now, Member { state: State::Left, ..member(5) });
+    assert!(members.learn(now, restarted));
+    members.learn(now, Member { state: State::Lost, incarnation: 1, ..member(5) });
+    assert_eq!(members.find(0).map(|member| member.state), Some(State::Alive));
+}
+
 quickcheck! {
     fn lists_that_heard_the_same_agree_in_any_order(news: Vec<(u8, u8, u8)>, seed: u64) -> bool {
         let now = Instant::now();
