Soak: a host comes back with its clock set back by five seconds

Daemon and target are killed and start again behind their host's time of day, once a round, drawn after the other steps so that a seed keeps those. The time of day is used where a start gets its number and in log lines.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -98,7 +98,7 @@
         seed => seed,
     };
     fastrand::seed(seed);
-    let node = new_node();
+    let node = new_node(settings.clock_behind);
     let main = async {
         let mut signals = Signals::subscribe().describe(|| "signals".into())?;
         let running = start(&kernel, &settings, edge, node, seed)?;
@@ -258,8 +258,9 @@
 }
 
 /// A number that grows with time: milliseconds since 1970 and 20 random bits.
-fn new_node() -> u64 {
+fn new_node(clock_behind: Duration) -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = since.saturating_sub(clock_behind);
     let mut random = fastrand::Rng::new();
     ((since.as_millis() as u64) << 20) | u64::from(random.u32(..1 << 20))
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -49,6 +49,9 @@
     pub transfer_cost: f64,
     /// Time after the announcement of a stop in which callers still come.
     pub linger: Duration,
+    /// How far the host's time of day is behind. No flag sets it: it stands for a
+    /// clock that has been set back, in tests.
+    pub clock_behind: Duration,
 }
 
 /// How callers and targets speak.
@@ -377,6 +380,7 @@
                 announce,
                 ready,
                 linger: linger?,
+                clock_behind: Duration::ZERO,
                 transfer_cost: transfer_cost?.as_secs_f64(),
             })
         })();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -83,6 +83,7 @@
     control: Option<SocketAddr>,
     announced: Option<SocketAddr>,
     name: String,
+    clock_behind: Duration,
 }
 
 impl Options {
@@ -105,6 +106,7 @@
             control: None,
             announced: None,
             name: "desk".into(),
+            clock_behind: Duration::ZERO,
         };
         let mut parser = lexopt::Parser::from_args(args);
         while let Some(arg) = parser.next()? {
@@ -135,6 +137,9 @@
                     options.announced = Some(parser.value()?.parse()?)
                 }
                 lexopt::Arg::Long("service") => options.name = parser.value()?.string()?,
+                lexopt::Arg::Long("clock-behind-ms") => {
+                    options.clock_behind = Duration::from_millis(parser.value()?.parse()?);
+                }
                 lexopt::Arg::Long("json") => {}
                 other => return Err(other.unexpected().into()),
             }
@@ -202,6 +207,7 @@
         slots: options.slots,
         work: options.service,
         seed: options.seed,
+        clock_behind: options.clock_behind,
     };
     serve(&options, |kernel, listener| sidecar::serve(kernel, listener, settings))
 }
@@ -260,8 +266,10 @@
 
 fn run_daemon(args: impl Iterator<Item = std::ffi::OsString>) -> Result<ExitCode, Failure> {
     process::end_with_parent();
+    let (args, clock_behind) = soak::host::split_clock(args).map_err(String::from)?;
     match daemon::settings::read(args, |_| None)? {
-        daemon::settings::Command::Run(settings) => {
+        daemon::settings::Command::Run(mut settings) => {
+            settings.clock_behind = clock_behind;
             let edge = platform::edge_of(settings.interface);
             Ok(daemon::run(*settings, edge))
         }
--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -46,6 +46,8 @@
     pub work: Duration,
     /// Seed of the times.
     pub seed: u64,
+    /// How far the host's time of day is behind.
+    pub clock_behind: Duration,
 }
 
 struct Target {
@@ -66,7 +68,7 @@
     listener: TcpListener,
     settings: Settings,
 ) -> std::io::Result<web::Serving> {
-    let born = unix_millis();
+    let born = unix_millis().saturating_sub(settings.clock_behind.as_millis() as u64);
     let target = Rc::new(Target {
         kernel: kernel.clone(),
         instance: format!("i-{born:x}-{}", std::process::id()),
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,6 +26,8 @@
 const WORK_MICROS: u64 = 25_000;
 /// Time between two looks at what is in force.
 const WATCH_EVERY: Duration = Duration::from_millis(200);
+/// How far the host's time of day is behind, for a process that is started.
+const CLOCK_FLAG: &str = "--clock-behind-ms";
 const START_LIMIT: Duration = Duration::from_secs(20);
 
 /// Where a fault was made.
@@ -82,6 +85,8 @@
     ready: SocketAddr,
     daemon_args: Vec<String>,
     target_args: Vec<String>,
+    /// How far the host's time of day is behind.
+    clock_behind: Duration,
     daemon: Option<Process>,
     process: Option<Process>,
     to_target: Proxy,
@@ -89,6 +94,28 @@
     to_peer: Proxy,
 }
 
+impl Host {
+    /// The arguments of a process under this host's clock.
+    fn with_clock(&self, args: &[String]) -> Vec<String> {
+        let (name, flags) = args.split_at(1);
+        let behind = [CLOCK_FLAG.to_owned(), self.clock_behind.as_millis().to_string()];
+        [name, &behind, flags].concat()
+    }
+}
+
+/// Splits what [`Mesh`] tells of the host's clock from the daemon's own arguments.
+pub fn split_clock(
+    args: impl Iterator<Item = OsString>,
+) -> Result<(Vec<OsString>, Duration), Box<str>> {
+    let mut args: Vec<OsString> = args.collect();
+    if args.first().is_none_or(|flag| flag != CLOCK_FLAG) {
+        return Ok((args, Duration::ZERO));
+    }
+    let millis = args.get(1).and_then(|millis| millis.to_str()?.parse().ok());
+    let millis = millis.ok_or_else(|| format!("{CLOCK_FLAG} wants a number"))?;
+    Ok((args.split_off(2), Duration::from_millis(millis)))
+}
+
 /// A store, and hosts with a daemon and a target each. Everything ends when it is
 /// dropped.
 pub struct Mesh {
@@ -254,7 +281,8 @@
     }
 
     fn start_target(&mut self, host: usize) -> Result<(), Box<str>> {
-        self.hosts[host].process = Some(process::start(&self.hosts[host].target_args, None)?);
+        let args = self.hosts[host].with_clock(&self.hosts[host].target_args);
+        self.hosts[host].process = Some(process::start(&args, None)?);
         Ok(())
     }
 
@@ -264,7 +292,8 @@
             return Ok(());
         }
         self.keep_log(host);
-        self.hosts[host].daemon = Some(process::start(&self.hosts[host].daemon_args, None)?);
+        let args = self.hosts[host].with_clock(&self.hosts[host].daemon_args);
+        self.hosts[host].daemon = Some(process::start(&args, None)?);
         Ok(())
     }
 
@@ -372,6 +401,7 @@
         ready,
         daemon_args: args_of("daemon", daemon),
         target_args: args_of("sidecar", target_flags),
+        clock_behind: Duration::ZERO,
         daemon: None,
         process: None,
         to_target,
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -18,6 +18,9 @@
 /// Time in which a process is sure to have taken over its signals, in milliseconds.
 const START_MS: u64 = 1000;
 
+/// By how much a host's clock is set back.
+const CLOCK_STEP: Duration = Duration::from_secs(5);
+
 /// A link on which bytes come late.
 const DELAY: proxy::Fault = proxy::Fault::Delay(Duration::from_millis(60));
 /// A link on which answers are cut: after some whole ones, in the midst of one.
@@ -26,6 +29,8 @@
 /// What ends a fault.
 pub(super) enum Undo {
     StartDaemon(usize),
+    /// Starts target and daemon.
+    StartHost(usize),
     /// Process id of the daemon that was asked to stop, and when.
     AwaitStop(usize, u32, u64),
     ContinueDaemon(usize),
@@ -63,6 +68,12 @@
                 signal(self.hosts[host].daemon.as_ref(), "HUP");
                 (Place::Host(host), Duration::ZERO, Undo::Nothing)
             }
+            SetClockBack(host) => {
+                self.hosts[host].daemon = None;
+                self.end_target(host);
+                self.hosts[host].clock_behind += CLOCK_STEP;
+                (Place::Host(host), step.lasts, Undo::StartHost(host))
+            }
             KillTarget(host) => {
                 self.end_target(host);
                 (Place::Host(host), step.lasts, Undo::StartTarget(host))
@@ -184,6 +195,11 @@
     fn undo(&mut self, undo: Undo, now: Duration, made: usize) -> Result<bool, Box<str>> {
         match undo {
             Undo::StartDaemon(host) => self.start_daemon(host)?,
+            Undo::StartHost(host) => {
+                self.end_target(host);
+                self.start_target(host)?;
+                self.start_daemon(host)?;
+            }
             Undo::AwaitStop(host, id, asked_ms) => {
                 return self.await_stop(host, id, asked_ms, now, made);
             }
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -9,6 +9,8 @@
 /// Faults of links between daemons beside them, drawn after them, so that a seed
 /// keeps its steps.
 const LINK_STEPS: usize = 3;
+/// Clocks that jump, drawn after those.
+const CLOCK_STEPS: usize = 1;
 
 /// A fault at a time of a round.
 #[derive(Debug, Clone)]
@@ -74,6 +76,9 @@
     DelayPeer(usize),
     /// Connections of the others to the daemon are cut in the midst of answers.
     CutPeer(usize),
+    /// Daemon and target are killed; when they start again their host's time of day is
+    /// five seconds behind what it was.
+    SetClockBack(usize),
 }
 
 /// Draws a schedule.
@@ -86,6 +91,9 @@
     };
     let picks = std::iter::repeat_n(pick as fn(&mut _, _) -> _, STEPS);
     let picks = picks.chain(std::iter::repeat_n(pick_link as fn(&mut _, _) -> _, LINK_STEPS));
+    let set_back: fn(&mut fastrand::Rng, usize) -> Fault =
+        |random, hosts| Fault::SetClockBack(random.usize(..hosts));
+    let picks = picks.chain(std::iter::repeat_n(set_back, CLOCK_STEPS));
     let mut steps: Vec<Step> = picks.map(&mut draw).collect();
     steps.sort_by_key(|step| step.at);
     steps
