--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -127,7 +127,7 @@
         mesh.undo_due(started.elapsed())?;
     }
     let calm_at = Instant::now();
-    let is_back = || callers.serves_well();
+    let is_back = || callers.serves_well() && mesh.is_whole();
     let back = crate::fleet::wait_until(RECOVERY, is_back);
     std::thread::sleep(CALM);
     let records = callers.stop();
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -53,7 +53,7 @@
     Budget(String),
     /// Targets worked on for callers that had left.
     Gone(String),
-    /// Callers were not served again in time.
+    /// Callers were not served again in time, or not all daemons knew each other.
     Recovery,
     /// A process did not end as it should.
     End(String),
@@ -287,7 +287,7 @@
             Self::LateConfig(text) => write!(f, "a late configuration: {text}"),
             Self::Budget(text) => write!(f, "over the retry budget: {text}"),
             Self::Gone(text) => write!(f, "work for callers that had left: {text}"),
-            Self::Recovery => write!(f, "callers were not served again in time"),
+            Self::Recovery => write!(f, "callers were not served again in time, or a daemon is not known"),
             Self::End(text) => write!(f, "{text}"),
         }
     }
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -165,14 +165,17 @@
 
     /// Waits until each daemon knows its target, the others and a configuration.
     pub fn wait_until_ready(&self) -> Result<(), Box<str>> {
+        let waited = wait_until(START_LIMIT, || self.is_whole());
+        waited.map(drop).ok_or_else(|| "the daemons are not ready in time".into())
+    }
+
+    /// Whether each daemon knows its target, the others and a configuration.
+    pub(super) fn is_whole(&self) -> bool {
         let daemons = self.hosts.len();
-        let is_ready = |host: &Host| {
+        self.hosts.iter().all(|host| {
             let state = get(host.admin, "/state").unwrap_or_default();
             state["target"]["reachable"] == true && knows(&state, daemons)
-        };
-        let all_ready = || self.hosts.iter().all(is_ready);
-        let waited = wait_until(START_LIMIT, all_ready);
-        waited.map(drop).ok_or_else(|| "the daemons are not ready in time".into())
+        })
     }
 
     /// Address of the store.
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -18,8 +18,9 @@
 /// Time in which a process is sure to have taken over its signals, in milliseconds.
 const START_MS: u64 = 1000;
 
-/// By how much a host's clock is set back.
-const CLOCK_STEP: Duration = Duration::from_secs(5);
+/// By how much a host's clock is set back: more than a round takes, so that the next
+/// start has an earlier time than the one before.
+const CLOCK_STEP: Duration = Duration::from_secs(60);
 
 /// A link on which bytes come late.
 const DELAY: proxy::Fault = proxy::Fault::Delay(Duration::from_millis(60));
@@ -48,6 +49,8 @@
     /// Makes a fault.
     pub(in crate::soak) fn inject(&mut self, step: &Step, now: Duration) -> Result<(), Box<str>> {
         use Fault::*;
+        // A process that is killed is gone before this function has noted it.
+        let from_ms = unix_millis();
         let store = |faults: Value| post(self.store, "/faults", &faults);
         let (place, lasts, undo) = match step.fault {
             KillDaemon(host) => {
@@ -129,7 +132,6 @@
                 return Ok(());
             }
         };
-        let from_ms = unix_millis();
         let is_stop = matches!(step.fault, StopDaemon(_));
         self.seen.made.push(Made { place, is_stop, from_ms, to_ms: u64::MAX });
         self.undo.push((now + lasts, undo, self.seen.made.len() - 1));
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -76,8 +76,8 @@
     DelayPeer(usize),
     /// Connections of the others to the daemon are cut in the midst of answers.
     CutPeer(usize),
-    /// Daemon and target are killed; when they start again their host's time of day is
-    /// five seconds behind what it was.
+    /// Daemon and target are killed; when they start again their host's time of day has
+    /// been set back.
     SetClockBack(usize),
 }
 
