--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -58,8 +58,8 @@
     pub service: Box<str>,
     /// Path of the targets' health page.
     pub health_path: Box<str>,
-    /// Connections that a target takes.
-    pub connections: u16,
+    /// Connections that a target takes, if the operator states them.
+    pub connections: Option<u16>,
 }
 
 /// Bounds of what callers may send and how long they may take.
--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -131,9 +131,11 @@
         self.endpoints.iter().find(|endpoint| endpoint.service == *service)
     }
 
-    /// Keeps to the connections that the target takes.
+    /// Keeps to the connections that the target takes: those that the configuration
+    /// states, or else the settings.
     pub(super) fn bound_connections(&mut self) {
-        let connections = self.endpoint().map_or(self.connections, |stated| stated.connections);
+        let connections =
+            self.endpoint().and_then(|stated| stated.connections).unwrap_or(self.connections);
         if let Some(target) = &self.target {
             self.gate.set_bound(target.set_connections(connections));
         }
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -287,7 +287,9 @@
             Self::LateConfig(text) => write!(f, "a late configuration: {text}"),
             Self::Budget(text) => write!(f, "over the retry budget: {text}"),
             Self::Gone(text) => write!(f, "work for callers that had left: {text}"),
-            Self::Recovery => write!(f, "callers were not served again in time, or a daemon is not known"),
+            Self::Recovery => {
+                write!(f, "callers were not served again in time, or a daemon is not known")
+            }
             Self::End(text) => write!(f, "{text}"),
         }
     }
