News: a target that slows down tells those that have lately asked it first

Cause: a change of pace went to 24 members at random (12 of the data centre). At 70 daemons two of three that use a target do not hear of it, at 25,000 practically none.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -70,6 +70,35 @@
         }
     }
 
+    /// What a guard is sent for a call.
+    fn request_of(&self, call: &Call, remaining: Duration) -> Request {
+        let treatment = &call.treatment;
+        let spent = call.deadline.saturating_sub(remaining);
+        Request {
+            id: call.id.clone(),
+            service: call.service.clone(),
+            method: call.method.clone(),
+            path: call.path.clone(),
+            headers: call.headers.clone(),
+            body: call.body.clone(),
+            remaining,
+            depth: call.depth,
+            may_wait: treatment.may_wait,
+            may_queue: true,
+            repeatable: call.is_repeatable(),
+            crashes: 0,
+            claim_tag: "".into(),
+            recall_only: false,
+            fingerprint: call.fingerprint,
+            caller: self.guard.service(),
+            kind: treatment.kind.clone(),
+            rank: treatment.rank,
+            aim: treatment.aim.saturating_sub(spent),
+            once: !call.is_repeatable() && !call.is_claimed(),
+            entry: self.node,
+        }
+    }
+
     /// Sends a call until it is answered, refused for good, or its time is
     /// over. `claim_tag` is the tag of its row, if it may not be repeated.
     pub(crate) async fn run(&self, call: &Call, deadline: Instant, claim_tag: &str) -> Answer {
@@ -110,8 +139,7 @@
     pub(crate) async fn recall(&self, call: &Call, deadline: Instant, node: Node) -> Answer {
         let unknown = |reason| Answer::refusal(Outcome::Unknown, reason, node);
         let remaining = deadline.saturating_duration_since(self.clock.now());
-        let request =
-            Request { recall_only: true, ..request_of(call, remaining, self.guard.service()) };
+        let request = Request { recall_only: true, ..self.request_of(call, remaining) };
         let address = self.router.ask(|reply| router::Ask::Address { node, reply }).await.flatten();
         let Some(address) = address else {
             return unknown(Reason::Unreachable);
@@ -275,12 +303,11 @@
         };
         let remaining = deadline.saturating_duration_since(self.clock.now());
         let remaining = remaining.saturating_sub(GUARD_MARGIN);
-        let caller = self.guard.service();
         let request = Request {
             may_queue: route.may_queue,
             crashes,
             claim_tag: claim_tag.into(),
-            ..request_of(call, remaining, caller)
+            ..self.request_of(call, remaining)
         };
         let answer = self.deliver(route.node, route.address, request).await;
         sent.end(&answer);
@@ -438,33 +465,6 @@
     }
 }
 
-fn request_of(call: &Call, remaining: Duration, caller: Box<str>) -> Request {
-    let treatment = &call.treatment;
-    let spent = call.deadline.saturating_sub(remaining);
-    Request {
-        id: call.id.clone(),
-        service: call.service.clone(),
-        method: call.method.clone(),
-        path: call.path.clone(),
-        headers: call.headers.clone(),
-        body: call.body.clone(),
-        remaining,
-        depth: call.depth,
-        may_wait: treatment.may_wait,
-        may_queue: true,
-        repeatable: call.is_repeatable(),
-        crashes: 0,
-        claim_tag: "".into(),
-        recall_only: false,
-        fingerprint: call.fingerprint,
-        caller,
-        kind: treatment.kind.clone(),
-        rank: treatment.rank,
-        aim: treatment.aim.saturating_sub(spent),
-        once: !call.is_repeatable() && !call.is_claimed(),
-    }
-}
-
 /// Whether a target's answer is one of its own failure, which another target
 /// may not share. A deeper layer has retried its own failures already.
 fn is_own_failure(answer: &Answer) -> bool {
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -17,6 +17,7 @@
 use admit::{Discipline, Gate, Hold, Holds, Standing, Ticket};
 use config::Endpoint;
 use kernel::{Kernel, Mailbox, Reply};
+use member::Askers;
 use once::Ledger;
 use route::{Load, Node, Works};
 use wire::{Answer, Request};
@@ -175,6 +176,7 @@
         endpoints: Vec::new(),
         connections,
         report: None,
+        askers: Askers::default(),
         told: Load::default(),
         works: Works::default(),
         gate: Gate::with_discipline(slots, discipline),
--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -56,7 +56,11 @@
         }
         self.told = load;
         let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
-        membership.send(membership::Ask::Load(load));
+        // A target that has become faster is told to others, too: those that have lately
+        // asked would all come at once.
+        let has_slowed = change > 1.0 || load.leaving;
+        let askers = self.askers.latest().filter(|_| has_slowed).collect();
+        membership.send(membership::Ask::Load { load, askers });
     }
 
     /// The state here as log lines tell it.
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -8,6 +8,7 @@
 use admit::{Class, End, Gate, Holds, Next, Refusal, Standing, Ticket, Verdict};
 use config::Endpoint;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
+use member::Askers;
 use once::{Ledger, Lookup};
 use route::{Load, Node, Works, pace_factor};
 use wire::{Answer, Outcome, Reason, Request};
@@ -45,6 +46,8 @@
     /// does not say it.
     pub(super) connections: u16,
     pub(super) report: Option<Heard>,
+    /// The daemons whose requests came here lately.
+    pub(super) askers: Askers,
     /// The load that other daemons have been told last.
     pub(super) told: Load,
     pub(super) works: Works,
@@ -129,6 +132,7 @@
 
     fn arrive(&mut self, ticket: Ticket, request: Request, reply: Reply<Answer>) {
         let now = self.now();
+        self.askers.note(request.entry);
         if let Some(refusal) = self.check(now, &request) {
             self.note(
                 &request.id,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -67,8 +67,9 @@
     Revision(u64),
     /// Tell everybody of crashes.
     Spread(Vec<Hold>),
-    /// The load of this daemon's target has changed much.
-    Load(Load),
+    /// The load of this daemon's target has changed much. Those that have lately sent
+    /// requests to it are told before others, the latest first.
+    Load { load: Load, askers: Vec<Node> },
     /// The target of this node answers for this service.
     Serve { service: Box<str>, slots: u16 },
     /// Announce that this node is leaving.
@@ -192,7 +193,7 @@
             }
             Ask::Learn(list) => {
                 if self.members.merge(now, list) {
-                    let actions = self.members.spread(GREETED, GREETED);
+                    let actions = self.members.spread([], GREETED, GREETED);
                     self.act(actions);
                 }
             }
@@ -204,9 +205,9 @@
                 self.holds.extend(holds.into_iter().map(|hold| (hold, HOLD_SENDS)));
                 self.spread();
             }
-            Ask::Load(load) => {
+            Ask::Load { load, askers } => {
                 self.load = Some(load);
-                let actions = self.members.spread(LOAD_NEAR, LOAD_FAR);
+                let actions = self.members.spread(askers, LOAD_NEAR, LOAD_FAR);
                 self.act(actions);
             }
             Ask::Serve { service, slots } => {
@@ -225,7 +226,7 @@
     }
 
     fn spread(&mut self) {
-        let actions = self.members.spread(SPREAD_NEAR, SPREAD_FAR);
+        let actions = self.members.spread([], SPREAD_NEAR, SPREAD_FAR);
         self.act(actions);
     }
 
--- a/crates/member/src/detect.rs
+++ b/crates/member/src/detect.rs
@@ -204,15 +204,33 @@
         actions
     }
 
-    /// Datagrams that carry urgent news at once: to `near` random members of this
-    /// node's data centre, where a hop is short, and to `far` of all others.
-    pub fn spread(&mut self, near: usize, far: usize) -> Vec<Action> {
+    /// Datagrams that carry urgent news at once: to `near` members of this node's data
+    /// centre, where a hop is short, and to `far` of all others. Of each, those of
+    /// `first` come before random ones, in that order.
+    pub fn spread(
+        &mut self,
+        first: impl IntoIterator<Item = Node>,
+        near: usize,
+        far: usize,
+    ) -> Vec<Action> {
+        let is_near = |member: &Member| member.data_centre == self.own.data_centre;
+        let present = |node| self.peers.get(&node).filter(|peer| peer.member.state.is_present());
+        let known = first.into_iter().filter_map(present).map(|peer| &peer.member);
+        let (close, distant): (Vec<&Member>, Vec<&Member>) = known.partition(|m| is_near(m));
+        let close: Vec<Node> = close.into_iter().take(near).map(|member| member.node).collect();
+        let distant: Vec<Node> = distant.into_iter().take(far).map(|member| member.node).collect();
+
         let own = self.own.data_centre.clone();
-        let is_near = |member: &Member| member.state.is_present() && member.data_centre == own;
-        let mut nodes = self.pick(near, is_near);
-        let is_far = |member: &Member| member.state.is_present() && member.data_centre != own;
-        nodes.extend(self.pick(far, is_far));
-        let addresses = nodes.into_iter().filter_map(|node| self.find(node));
+        let near_others = self.pick(near - close.len(), |member| {
+            member.state.is_present() && member.data_centre == own && !close.contains(&member.node)
+        });
+        let far_others = self.pick(far - distant.len(), |member| {
+            member.state.is_present()
+                && member.data_centre != own
+                && !distant.contains(&member.node)
+        });
+        let nodes = close.into_iter().chain(near_others).chain(distant).chain(far_others);
+        let addresses = nodes.filter_map(|node| self.find(node));
         addresses.map(|member| send(member.address.clone(), Kind::News, 0, 0)).collect()
     }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -24,17 +24,20 @@
 //! assert_eq!(members.serving("ward-desk").count(), 2);
 //! ```
 
+mod askers;
 mod detect;
 mod digest;
 mod members;
 mod news;
 mod peer;
 
+pub use askers::Askers;
 pub use detect::{Action, Kind, Message, UnknownKind};
 pub use digest::BUCKETS;
 pub use members::Members;
 pub use peer::{Absence, Member, State, UnknownState};
 
 /// Number of a node. The high bits are its start time, so that of two nodes
-/// with one address the greater number is the later one.
+/// with one address the greater number is the later one, unless the host's clock has
+/// been set back in between.
 pub type Node = u64;
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use member::{Absence, Action, Kind, Member, Members, Message, State};
+use member::{Absence, Action, Askers, Kind, Member, Members, Message, State};
 use quickcheck::quickcheck;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -250,6 +250,34 @@
     assert_eq!(members.find(0).map(|member| member.state), Some(State::Alive));
 }
 
+/// Pattern: one of many daemons, whose target a few others use, has urgent news. Told to
+/// members at random, it would reach hardly any of them.
+#[test]
+fn those_that_have_lately_asked_are_told_first() {
+    let now = Instant::now();
+    let mut members = Members::new(now, member(1), 1);
+    members.merge(now, (2..=1000).map(member).collect());
+    let mut askers = Askers::default();
+    for node in (400..500).chain([1, 7000]).chain(408..421) {
+        askers.note(node);
+    }
+    members.learn(now, Member { state: State::Left, incarnation: 1, ..member(420) });
+    let told: Vec<Box<str>> = members
+        .spread(askers.latest(), 12, 12)
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Send { to, kind: Kind::News, .. } => Some(to),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(told.len(), 15, "the three near ones and twelve far ones");
+    for asker in 408..420 {
+        assert!(told.contains(&member(asker).address), "{asker} has asked");
+    }
+    assert!(!told.contains(&member(420).address), "it has left");
+    assert_eq!(members.spread([401], 12, 12).len(), 15, "others fill the room");
+}
+
 quickcheck! {
     fn lists_that_heard_the_same_agree_in_any_order(news: Vec<(u8, u8, u8)>, seed: u64) -> bool {
         let now = Instant::now();
--- a/crates/wire/schema/bronzeport.capnp
+++ b/crates/wire/schema/bronzeport.capnp
@@ -44,6 +44,7 @@
   rank @17 :UInt8;
   aimMicros @18 :UInt32;
   once @19 :Bool;
+  entry @20 :UInt64;
 }
 
 struct Answer {
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -47,6 +47,7 @@
     to.set_rank(from.rank);
     to.set_aim_micros(micros_of(from.aim));
     to.set_once(from.once);
+    to.set_entry(from.entry);
 }
 
 pub(crate) fn read_request(from: schema::request::Reader<'_>) -> Result<Request, Error> {
@@ -71,6 +72,7 @@
         rank: from.get_rank(),
         aim: Duration::from_micros(from.get_aim_micros().into()),
         once: from.get_once(),
+        entry: from.get_entry(),
     })
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -64,6 +64,8 @@
     pub aim: Duration,
     /// Whether it goes to one target only and nothing is stored of it.
     pub once: bool,
+    /// Node of the daemon where it entered; 0 when that one does not tell.
+    pub entry: Node,
 }
 
 /// What became of a call.
