--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -41,8 +41,8 @@
 const JOIN_PAUSE_MIN: Duration = Duration::from_millis(500);
 const JOIN_PAUSE_MAX: Duration = Duration::from_secs(2);
 /// Members that are told of the load of this daemon's target at once.
-const LOAD_NEAR: usize = 16;
-const LOAD_FAR: usize = 24;
+const LOAD_NEAR: usize = 12;
+const LOAD_FAR: usize = 12;
 /// Members that a daemon greets when it has learned of them.
 const GREETED: usize = 12;
 const MEMBER_TABLE: &str = "member";
