--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -107,6 +107,7 @@
     queue: Queue,
     /// Requests that later ones have pushed back too far, to be refused next.
     pushed_back: Vec<Ticket>,
+    /// How many times as long as usual work takes now and has taken lately.
     pace: Pace,
     is_leaving: bool,
 }
--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -56,10 +56,12 @@
         }
         self.told = load;
         let membership: Mailbox<membership::Ask> = self.kernel.service(names::MEMBERSHIP);
-        // A target that has become faster is told to others, too: those that have lately
-        // asked would all come at once.
-        let has_slowed = change > 1.0 || load.leaving;
-        let askers = self.askers.latest().filter(|_| has_slowed).collect();
+        // If those that have lately asked were the first to hear of a faster target they
+        // would all come at once.
+        let askers = match change > 1.0 || load.leaving {
+            true => self.askers.latest().collect(),
+            false => Vec::new(),
+        };
         membership.send(membership::Ask::Load { load, askers });
     }
 
