--- a/crates/admit/src/pace.rs
+++ b/crates/admit/src/pace.rs
@@ -25,6 +25,13 @@
     until: Option<Instant>,
 }
 
+impl Seen {
+    /// Whether the target may be at this pace again soon.
+    fn counts(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| now.saturating_duration_since(until) < MEMORY)
+    }
+}
+
 impl Pace {
     /// Takes in a report of the target. Before the first it counts as one at its usual
     /// pace.
@@ -37,9 +44,7 @@
             self.seen.pop_back();
         }
         self.seen.push_back(Seen { pace, until: None });
-        let is_old =
-            |seen: &Seen| seen.until.is_some_and(|until| now.duration_since(until) >= MEMORY);
-        while self.seen.front().is_some_and(is_old) {
+        while self.seen.front().is_some_and(|seen| !seen.counts(now)) {
             self.seen.pop_front();
         }
     }
@@ -51,9 +56,6 @@
 
     /// The best pace that the target may be at again soon.
     pub(crate) fn best(&self, now: Instant) -> f64 {
-        let counts = |seen: &&Seen| {
-            seen.until.is_none_or(|until| now.saturating_duration_since(until) < MEMORY)
-        };
-        self.seen.iter().find(counts).map_or(USUAL, |seen| seen.pace)
+        self.seen.iter().find(|seen| seen.counts(now)).map_or(USUAL, |seen| seen.pace)
     }
 }
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -138,15 +138,12 @@
     /// many requests go badly.
     fn write(&mut self, id: &str, entries: &[Entry]) {
         let now = self.kernel.clock().now();
-        let mut count = 0;
-        for index in
-            self.allowance.take(now, entries.len(), |index| entries[index].event.is_result())
-        {
-            let entry = &entries[index];
+        let is_result = |index: usize| entries[index].event.is_result();
+        let chosen = self.allowance.take(now, entries.len(), is_result);
+        let dropped = (entries.len() - chosen.len()) as u64;
+        for entry in chosen.into_iter().map(|index| &entries[index]) {
             logs::write_request_line(self.node, id, millis_of(entry.at), &entry.event);
-            count += 1;
         }
-        let dropped = (entries.len() - count) as u64;
         if dropped > 0 {
             self.dropped += dropped;
             metrics::counter!("bronzeport_log_lines_dropped_total", "cause" => "rate")
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -151,14 +151,7 @@
 
     /// Whether it tells how the request went at the target here or for its caller.
     pub(super) fn is_result(&self) -> bool {
-        matches!(
-            self,
-            Self::Ended { .. }
-                | Self::Left { .. }
-                | Self::Refused { .. }
-                | Self::Ran { .. }
-                | Self::Cancelled
-        )
+        !matches!(self.weight(), Weight::Under)
     }
 
     pub(super) fn weight(&self) -> Weight {
--- a/crates/member/src/detect.rs
+++ b/crates/member/src/detect.rs
@@ -213,27 +213,31 @@
         near: usize,
         far: usize,
     ) -> Vec<Action> {
-        let is_near = |member: &Member| member.data_centre == self.own.data_centre;
-        let present = |node| self.peers.get(&node).filter(|peer| peer.member.state.is_present());
-        let known = first.into_iter().filter_map(present).map(|peer| &peer.member);
-        let (close, distant): (Vec<&Member>, Vec<&Member>) = known.partition(|m| is_near(m));
-        let close: Vec<Node> = close.into_iter().take(near).map(|member| member.node).collect();
-        let distant: Vec<Node> = distant.into_iter().take(far).map(|member| member.node).collect();
-
+        let first: Vec<Node> = first.into_iter().collect();
         let own = self.own.data_centre.clone();
-        let near_others = self.pick(near - close.len(), |member| {
-            member.state.is_present() && member.data_centre == own && !close.contains(&member.node)
-        });
-        let far_others = self.pick(far - distant.len(), |member| {
-            member.state.is_present()
-                && member.data_centre != own
-                && !distant.contains(&member.node)
-        });
-        let nodes = close.into_iter().chain(near_others).chain(distant).chain(far_others);
-        let addresses = nodes.filter_map(|node| self.find(node));
+        let mut nodes = self.choose(&first, near, |member| member.data_centre == own);
+        nodes.extend(self.choose(&first, far, |member| member.data_centre != own));
+        let addresses = nodes.into_iter().filter_map(|node| self.find(node));
         addresses.map(|member| send(member.address.clone(), Kind::News, 0, 0)).collect()
     }
 
+    /// At most `count` present members that are wanted: those of `first`, in that order,
+    /// then random ones.
+    fn choose(
+        &mut self,
+        first: &[Node],
+        count: usize,
+        is_wanted: impl Fn(&Member) -> bool,
+    ) -> Vec<Node> {
+        let is_wanted = |member: &Member| member.state.is_present() && is_wanted(member);
+        let is_known = |node: &Node| self.peers.get(node).is_some_and(|p| is_wanted(&p.member));
+        let mut nodes: Vec<Node> = first.iter().copied().filter(is_known).take(count).collect();
+        let is_new = |member: &Member| is_wanted(member) && !nodes.contains(&member.node);
+        let others = self.pick(count - nodes.len(), is_new);
+        nodes.extend(others);
+        nodes
+    }
+
     /// What is outstanding from before a pause of this process proves nothing
     /// against others.
     fn allow_for_own_pause(&mut self, now: Instant) {
