Gate: what waits for a better pace holds nobody up while slots are free

Cause: a request that arrives starts at once only if nobody waits. Since requests may wait for a better pace with slots free, one that could run here was refused as busy, or went through the queue, because of one that could not. Change: only waiting requests that could start now go before it.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -140,8 +140,9 @@
             return Verdict::Refuse(Refusal::Leaving);
         }
         self.limit.warm_up(now);
-        let fits = self.present(now).fits(request.work, request.deadline);
-        if self.has_free_slot() && self.queue.len() == 0 && fits {
+        let present = self.present(now);
+        let is_first = !self.queue.has_startable(&present);
+        if self.has_free_slot() && is_first && present.fits(request.work, request.deadline) {
             self.running.insert(request.ticket);
             return Verdict::Start;
         }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -28,6 +28,12 @@
     pub(crate) work: Option<Duration>,
 }
 
+impl Waiting {
+    fn may_start(&self, present: &Present) -> bool {
+        present.fits(self.work, self.deadline)
+    }
+}
+
 /// What decides the order, the least first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Stage {
@@ -115,12 +121,17 @@
     /// when it must start within the margin to be in time. One that could not end
     /// at the present pace waits for a better one.
     pub(crate) fn pop(&mut self, present: &Present) -> Option<Waiting> {
-        let fits = |waiting: &Waiting| present.fits(waiting.work, waiting.deadline);
-        let keyed = self.waiting.iter().enumerate().filter(|(_, waiting)| fits(waiting));
+        let waiting = self.waiting.iter().enumerate();
+        let keyed = waiting.filter(|(_, waiting)| waiting.may_start(present));
         let first = keyed.min_by_key(|(_, waiting)| key_of(waiting, present))?.0;
         Some(self.waiting.swap_remove(first))
     }
 
+    /// Whether a request waits that could start now. Others wait for a better pace.
+    pub(crate) fn has_startable(&self, present: &Present) -> bool {
+        self.waiting.iter().any(|waiting| waiting.may_start(present))
+    }
+
     /// Takes a request that cannot be answered before its deadline any more, even
     /// if the target is at its best pace from now on.
     pub(crate) fn pop_overdue(&mut self, present: &Present) -> Option<Waiting> {
