Gate: a long request waits for a better pace where it ends sooner so

Change: at a slow pace a request waits if what the better pace saves it is more than the mean time for which the target is slow (learned), and it has time for two of these. Ruled out: the knee.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -225,6 +225,7 @@
             service,
             pace: self.pace.present(),
             best_pace: self.pace.best(now),
+            slow_time: self.pace.slow_time(),
             is_overfull,
         }
     }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -68,12 +68,17 @@
     pub(crate) pace: f64,
     /// The same at the best pace that the target may be at again soon.
     pub(crate) best_pace: f64,
+    /// Time after which a target that is slow now is likely to be at a better pace.
+    pub(crate) slow_time: Duration,
     /// Whether more wait than can be answered before their deadlines.
     pub(crate) is_overfull: bool,
 }
 
 /// Time that a request is given, in times of what it is expected to take.
 const NEEDED_FACTOR: f64 = 1.25;
+/// Times for which a target is slow that a request must be able to wait before it may:
+/// so often the next pace is no better than this one.
+const SLOW_TIMES: u32 = 2;
 
 impl Present {
     /// Time that a request needs once it has started. A start that is not
@@ -83,9 +88,19 @@
     }
 
     /// Whether a request may start now: at a pace slower than usual, one that
-    /// could not end before its deadline may not.
+    /// could not end before its deadline may not, nor one that ends sooner if it waits
+    /// for a better pace.
     pub(crate) fn fits(&self, work: Option<Duration>, deadline: Instant) -> bool {
-        self.pace <= 1.0 || self.now + self.needed(work) <= deadline
+        let ends_in_time = self.now + self.needed(work) <= deadline;
+        self.pace <= 1.0 || (ends_in_time && !self.gains_by_waiting(work, deadline))
+    }
+
+    /// Whether a request is likely to end sooner if it waits for a better pace, and has
+    /// the time for it. It also holds its slot for less.
+    fn gains_by_waiting(&self, work: Option<Duration>, deadline: Instant) -> bool {
+        let gain = work.unwrap_or_default().mul_f64(self.pace - self.best_pace);
+        let latest = self.now + self.slow_time * SLOW_TIMES + self.needed_at_best(work);
+        gain > self.slow_time && latest <= deadline
     }
 
     /// Time that a request needs if the target is at its best pace by then.
