Wire: long messages between daemons take turns on the host's link

Their hosts have 12 Mbit/s, and each download of 90 kB fills that for 60 ms; what the system has taken goes in order, so that short answers wait behind it. The run that asked holds its slot meanwhile. Ruled out: processor (0.012 of 0.1 core, 0.0205 at most), the queue of the guard (such requests may not wait), the other service's hosts, without downloads (4 ms). Test: the load without a network; a short answer waits 50 ms and more before, 20 at most after, while downloads keep 0.6 of the link.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,7 +15,7 @@
 use store::Store;
 use tokio::net::TcpStream;
 use web::{Limits, Serving};
-use wire::{Answering, Question, Reply};
+use wire::{Answering, Question, Reply, Uplink};
 
 use crate::edge::Edge;
 use crate::entry::Entry;
@@ -135,7 +135,8 @@
     let store = settings.platform.map(|at| store::Settings::at(at, edge.store));
     storage::start(kernel, store.map(|settings| Store::new(kernel, settings)));
     journal::start(kernel, node);
-    peers::start(kernel);
+    let uplink = Uplink::new(settings.link);
+    peers::start(kernel, uplink.clone());
     router::start(kernel, node, settings, seed);
     let discipline = match settings.policy {
         Policy::Bronzeport => Discipline::Deadline,
@@ -146,7 +147,8 @@
     membership::start(kernel, socket, own, first_peers, seed).describe(|| "gossip".into())?;
     let guard = guard::start(kernel, node, edge, settings.target.as_ref(), discipline);
     configuration::start(kernel, edge, &settings.peers);
-    serve_peers(kernel, peer_listener, node, guard.clone()).describe(|| "daemons' port".into())?;
+    serve_peers(kernel, peer_listener, uplink, answering(kernel, node, guard.clone()))
+        .describe(|| "daemons' port".into())?;
     admin::start(kernel, pages, node, metrics).describe(|| "admin pages".into())?;
 
     let surroundings = surroundings::open(kernel, settings, edge)?;
@@ -269,12 +271,11 @@
 fn serve_peers(
     kernel: &Kernel,
     listener: TcpListener,
-    node: u64,
-    calls: guard::Handle,
+    uplink: Uplink,
+    answering: Answering,
 ) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    let answering = answering(kernel, node, calls);
     let open = Rc::new(());
     let acceptor = kernel.clone();
     kernel.start(async move {
@@ -284,16 +285,22 @@
                 continue;
             };
             if Rc::strong_count(&open) <= MAX_PEER_CONNECTIONS {
-                let serving = serve_peer(stream, from, answering.clone(), open.clone());
-                acceptor.start(serving);
+                let (uplink, answering) = (uplink.clone(), answering.clone());
+                acceptor.start(serve_peer(stream, from, uplink, answering, open.clone()));
             }
         }
     });
     Ok(())
 }
 
-async fn serve_peer(stream: TcpStream, from: SocketAddr, answering: Answering, _open: Rc<()>) {
-    if let Err(error) = wire::serve(stream, HELLO_TIME, answering).await {
+async fn serve_peer(
+    stream: TcpStream,
+    from: SocketAddr,
+    uplink: Uplink,
+    answering: Answering,
+    _open: Rc<()>,
+) {
+    if let Err(error) = wire::serve(stream, HELLO_TIME, uplink, answering).await {
         metrics::counter!("bronzeport_peer_refused_total").increment(1);
         log::debug!("connection of {from} refused: {error}");
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -6,7 +6,7 @@
 
 use futures_lite::FutureExt;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use wire::Link;
+use wire::{Link, Uplink};
 
 use crate::names;
 
@@ -35,11 +35,13 @@
 }
 
 /// Starts the service.
-pub(crate) fn start(kernel: &Kernel) {
+/// Long messages take their turns on `uplink`.
+pub(crate) fn start(kernel: &Kernel, uplink: Uplink) {
     let inbox = kernel.register::<Ask>(names::PEERS);
     let task = Task {
         kernel: kernel.clone(),
         mailbox: kernel.service(names::PEERS),
+        uplink,
         links: HashMap::new(),
     };
     kernel.start(task.run(inbox));
@@ -48,6 +50,7 @@
 struct Task {
     kernel: Kernel,
     mailbox: Mailbox<Ask>,
+    uplink: Uplink,
     links: HashMap<Box<str>, State>,
 }
 
@@ -77,8 +80,9 @@
 
     fn connect(&self, address: Box<str>) {
         let (kernel, mailbox) = (self.kernel.clone(), self.mailbox.clone());
+        let uplink = self.uplink.clone();
         self.kernel.start(async move {
-            let opened = open(&kernel, &address).await;
+            let opened = open(&kernel, &address, uplink).await;
             let Some((link, driver)) = opened else {
                 mailbox.send(Ask::Connected { address, opened: None });
                 return;
@@ -122,9 +126,10 @@
 async fn open(
     kernel: &Kernel,
     address: &str,
+    uplink: Uplink,
 ) -> Option<(Link, impl Future<Output = Result<(), wire::Error>> + use<>)> {
     let address: SocketAddr = address.parse().ok()?;
-    let connecting = kernel.clock().timeout(CONNECT_TIME, wire::connect(address));
+    let connecting = kernel.clock().timeout(CONNECT_TIME, wire::connect(address, uplink));
     match connecting.await.ok()? {
         Ok(opened) => Some(opened),
         Err(error) => {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -47,6 +47,8 @@
     /// What a megabyte between data centres counts for in the choice of a target,
     /// as time in seconds.
     pub transfer_cost: f64,
+    /// Speed of the host's link in Mbit/s; 0 if it is not known.
+    pub link: f64,
     /// Time after the announcement of a stop in which callers still come.
     pub linger: Duration,
     /// How far the host's time of day is behind. No flag sets it: it stands for a
@@ -116,7 +118,7 @@
     Setting { flag, unit, default, help }
 }
 
-const SETTINGS: [Setting; 21] = [
+const SETTINGS: [Setting; 22] = [
     setting("listen", "IP:PORT", "127.0.0.1:8000", "address for callers"),
     setting("peer-listen", "IP:PORT", "127.0.0.1:8100", "address for other daemons, TCP and UDP"),
     setting(
@@ -152,6 +154,7 @@
         "0",
         "what a megabyte between data centres counts for in the choice, 0 to 1000",
     ),
+    setting("link", "Mbit/s", "0", "speed of the host's link, 0 to 1000000; 0 if not known"),
     setting("linger", "seconds", "1", "time in which callers still come at a stop, 0 to 60"),
     setting("interface", "name", "callers", "how callers and targets speak: callers, platform"),
     setting("announce", "IP:PORT", "", "address where the target announces itself"),
@@ -304,6 +307,13 @@
         })
     }
 
+    fn decimal(&mut self, flag: &str, most: f64) -> Option<f64> {
+        self.require(flag, |text| {
+            let number = text.parse().ok().filter(|number| (0.0..=most).contains(number));
+            number.ok_or_else(|| format!("expected a number from 0 to {most}").into())
+        })
+    }
+
     /// A time in seconds, with or without its unit: `6`, `6s`, `1.5s`, `1500ms`.
     fn seconds(&mut self, flag: &str, most: f64) -> Option<Duration> {
         self.require(flag, |text| {
@@ -357,6 +367,7 @@
         let max_depth = raw.number("max-depth", 1, 255);
         let log = raw.require("log", scan_level);
         let linger = raw.seconds("linger", 60.0);
+        let link = raw.decimal("link", 1e6);
         let transfer_cost = raw.seconds("transfer-cost", 1000.0);
         let interface = raw.require("interface", |text| Interface::try_from(text));
         let announce = raw.parse("announce", scan_address);
@@ -379,6 +390,7 @@
                 interface: interface?,
                 announce,
                 ready,
+                link: link?,
                 linger: linger?,
                 clock_behind: Duration::ZERO,
                 transfer_cost: transfer_cost?.as_secs_f64(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,6 +21,7 @@
 mod link;
 mod message;
 mod serve;
+mod uplink;
 
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
@@ -31,6 +32,7 @@
 pub use link::{Link, connect};
 pub use message::{Answer, Changes, Gossip, Header, Outcome, Question, Reason, Reply, Request};
 pub use serve::{Answering, serve};
+pub use uplink::{PART_BYTES, Passage, Turn, Uplink};
 
 /// An error of a call between daemons.
 pub type Error = capnp::Error;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -18,6 +18,7 @@
 use crate::convert::{read_answer, read_changes, read_load, read_members, text_of, write_request};
 use crate::hello::{HelloError, exchange};
 use crate::message::{Answer, Changes, Request};
+use crate::uplink::{Paced, Uplink};
 
 /// Silence of the other side after which a connection counts as broken.
 pub(crate) const SILENCE: Duration = Duration::from_secs(3);
@@ -32,6 +33,7 @@
 /// until it ends and has to be run as a task.
 pub async fn connect(
     address: SocketAddr,
+    uplink: Uplink,
 ) -> Result<(Link, impl Future<Output = Result<(), Error>> + 'static), HelloError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
@@ -41,7 +43,7 @@
     let (reader, writer) = stream.split();
     let network = twoparty::VatNetwork::new(
         BufReader::new(reader),
-        BufWriter::new(writer),
+        BufWriter::new(Paced::new(writer, uplink)),
         Side::Client,
         crate::reader_options(),
     );
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::hello::{HelloError, exchange};
 use crate::link::SILENCE;
 use crate::message::{Question, Reply};
+use crate::uplink::{Paced, Uplink};
 
 /// Answers questions. The future is dropped when the asker has cancelled.
 pub type Answering = Rc<dyn Fn(Question) -> Pin<Box<dyn Future<Output = Option<Reply>>>>>;
@@ -28,6 +29,7 @@
 pub async fn serve(
     stream: TcpStream,
     hello_time: Duration,
+    uplink: Uplink,
     answering: Answering,
 ) -> Result<(), HelloError> {
     stream.set_nodelay(true)?;
@@ -38,7 +40,7 @@
     let (reader, writer) = stream.split();
     let network = twoparty::VatNetwork::new(
         BufReader::new(reader),
-        BufWriter::new(writer),
+        BufWriter::new(Paced::new(writer, uplink)),
         Side::Server,
         crate::reader_options(),
     );
