--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use common::{call, call_with, fleet, json, runs};
+use common::{call, call_with, fleet, json, plan, runs};
 use lab::fleet::{Fleet, wait_until};
 
 #[test]
@@ -58,6 +58,51 @@
     assert!(fleet.hosts[0].runs.is_empty());
 }
 
+/// Issue 12: on a slow link long messages are written in parts. They come whole and to
+/// their own callers, also beside short ones and after callers that left midway.
+#[test]
+fn long_messages_come_whole_over_a_slow_link() {
+    const LONG_BYTES: usize = 100_000;
+    let mut fleet =
+        Fleet::start_platform(plan(2, 8, Duration::from_millis(5), 1)).expect("a store");
+    for index in 0..2 {
+        fleet.set_daemon_flag(index, "--link", "50");
+    }
+    fleet.publish_first().expect("it is accepted");
+    fleet.start_hosts().expect("the hosts start");
+    fleet.wait_until_ready(Duration::from_secs(10)).expect("the fleet is ready");
+    // Host 1 alone takes the calls, and host 0 is their entry.
+    cli::admin::Admin::default()
+        .post(fleet.hosts[0].admin, "/drain", &serde_json::Value::Null)
+        .expect("the page answers");
+    let entry = fleet.hosts[0].callers;
+    let callers = (0..12).map(|number| {
+        std::thread::spawn(move || {
+            let body = format!("{number:04}").repeat(LONG_BYTES / 4);
+            let id = format!("long-{number}");
+            let seen = match number % 3 {
+                0 => {
+                    let headers = [("idempotency-key", &*id), ("bronzeport-deadline-ms", "15")];
+                    call_with(entry, "PUT", "/upload", &headers, &body);
+                    return;
+                }
+                1 => call(entry, "GET", "/read/1", &id, ""),
+                _ => call(entry, "PUT", "/upload", &id, &body),
+            };
+            assert_eq!((seen.status, &*seen.outcome), (200, "ran"), "{id}: {}", seen.reason);
+            let expected = if number % 3 == 1 { "" } else { &*body };
+            assert!(json(&seen.body)["echo"] == expected, "{id} got another body");
+            assert_eq!(json(&seen.body)["id"], *id);
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    for caller in callers {
+        caller.join().expect("the caller got its answer");
+    }
+    let turns = fleet.hosts[1].counter("bronzeport_uplink_wait_seconds_count");
+    assert!(turns >= 4.0, "{turns} long messages took turns");
+}
+
 /// Sends raw bytes and returns what comes back until the other side closes.
 fn exchange(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
     let mut stream = TcpStream::connect(address).expect("the port is open");
