Soak: slow links and long bodies

Each daemon is told a link of 20 Mbit/s and one request in 16 has a body of 12 kB, which its answer repeats, so that messages in parts are played under all faults.

--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -26,6 +26,8 @@
 const WORK_MICROS: u64 = 25_000;
 /// Time between two looks at what is in force.
 const WATCH_EVERY: Duration = Duration::from_millis(200);
+/// Speed of each host's link in Mbit/s: long bodies wait for their turns.
+const LINK: u32 = 20;
 /// How far the host's time of day is behind, for a process that is started.
 const CLOCK_FLAG: &str = "--clock-behind-ms";
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -385,6 +387,7 @@
         ("platform", to_store.address().to_string()),
         ("stop-within", "5.5".into()),
         ("linger", "1.5".into()),
+        ("link", LINK.to_string()),
     ];
     let target_flags = [
         ("listen", target.to_string()),
--- a/crates/lab/src/soak/load.rs
+++ b/crates/lab/src/soak/load.rs
@@ -21,6 +21,10 @@
 const PATIENCE: Duration = Duration::from_millis(700);
 /// Time after which a caller that does not wait leaves.
 const LEAVES_AFTER: Duration = Duration::from_millis(150);
+/// One of so many requests has a long body, which its answer repeats.
+const LONG_EVERY: usize = 16;
+/// Bytes of a long body: more than a message between daemons that is written at once.
+const LONG_BYTES: usize = 12_000;
 /// Latest answers by which the callers judge whether they are served well.
 const JUDGED: usize = 200;
 
@@ -111,7 +115,7 @@
 
 async fn send_all(kernel: Kernel, shared: Arc<Shared>, client: Client, entry: usize, seed: u64) {
     let mut random = fastrand::Rng::with_seed(seed ^ ((entry as u64) << 32));
-    for number in 0.. {
+    for number in 0_usize.. {
         if shared.stop.load(Ordering::Relaxed) {
             return;
         }
@@ -121,7 +125,11 @@
             _ => Kind::Safe,
         };
         let id = format!("{seed:x}-{entry}-{number}");
-        let sending = send_one(kernel.clone(), client.clone(), kind, id, entry);
+        let mut body = format!("body of {id}");
+        if number % LONG_EVERY == 0 {
+            body = body.repeat(LONG_BYTES / body.len());
+        }
+        let sending = send_one(kernel.clone(), client.clone(), kind, id, body, entry);
         let shared = shared.clone();
         kernel.start(async move {
             let record = sending.await;
@@ -136,7 +144,14 @@
     }
 }
 
-async fn send_one(kernel: Kernel, client: Client, kind: Kind, id: String, entry: usize) -> Record {
+async fn send_one(
+    kernel: Kernel,
+    client: Client,
+    kind: Kind,
+    id: String,
+    body: String,
+    entry: usize,
+) -> Record {
     let (method, path) = match kind {
         Kind::Safe => ("GET", format!("/read/{id}")),
         Kind::Order => ("POST", format!("/order/{id}")),
@@ -153,7 +168,7 @@
         .header("bronzeport-request-id", &id)
         .header("bronzeport-deadline-ms", DEADLINE.as_millis().to_string())
         .header("bronzeport-caller-service", "forged")
-        .body(Bytes::from(format!("body of {id}")))
+        .body(Bytes::from(body.clone()))
         .expect("a valid request");
     let sent_ms = unix_millis();
     let answer = kernel.clock().timeout(limit, client.send(request, Reuse::Allowed)).await;
@@ -169,7 +184,7 @@
     };
     if let Ok(Ok(response)) = answer {
         record.status = response.status().as_u16();
-        let expected = format!("{} {path} body of {}", record.id, record.id);
+        let expected = format!("{} {path} {body}", record.id);
         let has_signature = response.headers().contains_key("bronzeport-server-signature");
         record.is_wrong =
             record.status == 200 && (!has_signature || response.body() != expected.as_bytes());
