--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -154,7 +154,7 @@
         "0",
         "what a megabyte between data centres counts for in the choice, 0 to 1000",
     ),
-    setting("link", "Mbit/s", "0", "speed of the host's link, 0 to 1000000; 0 if not known"),
+    setting("link", "Mbit/s", "0", "speed of the host's link, 0.1 to 1000000; 0 if not known"),
     setting("linger", "seconds", "1", "time in which callers still come at a stop, 0 to 60"),
     setting("interface", "name", "callers", "how callers and targets speak: callers, platform"),
     setting("announce", "IP:PORT", "", "address where the target announces itself"),
@@ -307,10 +307,12 @@
         })
     }
 
-    fn decimal(&mut self, flag: &str, most: f64) -> Option<f64> {
+    /// The speed of a link in Mbit/s, or 0.
+    fn speed(&mut self, flag: &str, least: f64, most: f64) -> Option<f64> {
         self.require(flag, |text| {
-            let number = text.parse().ok().filter(|number| (0.0..=most).contains(number));
-            number.ok_or_else(|| format!("expected a number from 0 to {most}").into())
+            let is_allowed = |speed: &f64| *speed == 0.0 || (least..=most).contains(speed);
+            let speed = text.parse().ok().filter(is_allowed);
+            speed.ok_or_else(|| format!("expected 0 or a number from {least} to {most}").into())
         })
     }
 
@@ -367,7 +369,7 @@
         let max_depth = raw.number("max-depth", 1, 255);
         let log = raw.require("log", scan_level);
         let linger = raw.seconds("linger", 60.0);
-        let link = raw.decimal("link", 1e6);
+        let link = raw.speed("link", 0.1, 1e6);
         let transfer_cost = raw.seconds("transfer-cost", 1000.0);
         let interface = raw.require("interface", |text| Interface::try_from(text));
         let announce = raw.parse("announce", scan_address);
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -34,6 +34,7 @@
 fn all_findings_name_their_places() {
     let variable = |name: &str| (name == "BRONZEPORT_SLOTS").then(|| "many".into());
     let flags = ["--listen", "here", "--policy", "best", "--service", "Desk", "--speed", "1"];
+    let flags = [&flags[..], &["--link", "1e-9"]].concat();
     let findings = read(flags.iter().map(OsString::from), variable).unwrap_err().to_string();
     for part in [
         "--listen: expected IP:PORT, found `here`",
@@ -41,6 +42,7 @@
         "--service: expected a name",
         "--target: missing, since a service is given",
         "--speed: unknown flag",
+        "--link: expected 0 or a number from 0.1 to 1000000, found `1e-9`",
         "BRONZEPORT_SLOTS: expected a number from 1 to 4096, found `many`",
         "--data-centre: missing",
     ] {
