--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -24,6 +24,13 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
+fn listener_of_runtime() -> (tokio::net::TcpListener, SocketAddr) {
+    let listener = listener();
+    let address = listener.local_addr().expect("it is bound");
+    listener.set_nonblocking(true).expect("a socket option");
+    (tokio::net::TcpListener::from_std(listener).expect("a listener"), address)
+}
+
 /// Serves with `handler` while `exchange` runs on a thread of its own.
 fn with_server<T: Send + 'static>(
     handler: Handler,
@@ -182,10 +189,7 @@
     let (open, most) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
     let kernel = Kernel::new().expect("a runtime");
     kernel.run(async {
-        let listener = listener();
-        let address = listener.local_addr().expect("it is bound");
-        listener.set_nonblocking(true).expect("a socket option");
-        let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+        let (listener, address) = listener_of_runtime();
         let (counted, highest, server) = (open.clone(), most.clone(), kernel.clone());
         kernel.start(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -225,10 +229,7 @@
 fn is_alive_after(closes_port: bool) -> bool {
     let kernel = Kernel::new().expect("a runtime");
     kernel.run(async {
-        let listener = listener();
-        let address = listener.local_addr().expect("it is bound");
-        listener.set_nonblocking(true).expect("a socket option");
-        let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+        let (listener, address) = listener_of_runtime();
         let client = Client::new(kernel.clone(), address, 1);
         let closing = async {
             let first = listener.accept().await;
