Guard: a late 421 for an earlier start does not put the new one out of use

Cause: the target starts anew at its address and is served; 52 ms later a request that was sent to its earlier start comes back with 421. The guard took that for the present start, forgot it and took its further notices for late ones, so that the host had no target until the next start. Change: 421, a port that is closed, and a crash count against the start that the request was sent to, which must be the one that is served. Tests: a target played by the test, with real daemons; fails without the change. The soak prints what daemons know when they are not back.

--- a/crates/daemon/src/guard/belief.rs
+++ b/crates/daemon/src/guard/belief.rs
@@ -171,9 +171,7 @@
     }
 
     pub(super) fn looked(&mut self, instance: &str, look: Look) {
-        let is_current =
-            self.target.as_ref().is_some_and(|target| *target.identity().instance == *instance);
-        if !is_current {
+        if !self.serves(instance) {
             return;
         }
         match look {
@@ -264,18 +262,31 @@
         self.refuse_waiting(Reason::Leaving);
     }
 
+    /// Whether this start of the target is the one that is served. What was sent to an
+    /// earlier one tells nothing of it.
+    fn serves(&self, instance: &str) -> bool {
+        self.target.as_ref().is_some_and(|target| *target.identity().instance == *instance)
+    }
+
     /// The address belongs to another target: it is looked at before any more
     /// is sent there.
-    pub(super) fn moved(&mut self) {
-        let instance = self.target.as_ref().map(|target| target.identity().instance.clone());
-        if let (Some(standing), Some(instance)) = (&mut self.standing, instance)
-            && standing.forget(&instance)
+    pub(super) fn moved(&mut self, instance: &str) {
+        let is_served = self.serves(instance);
+        if let Some(standing) = self.standing.as_mut().filter(|_| is_served)
+            && standing.forget(instance)
         {
             log::warn!("the target {instance} is not at its address any more");
             self.reachable(false);
         }
     }
 
+    /// A request did not reach this start of the target, or broke it.
+    pub(super) fn found_unreachable(&mut self, instance: &str) {
+        if self.serves(instance) {
+            self.reachable(false);
+        }
+    }
+
     pub(super) fn reachable(&mut self, is_reachable: bool) {
         if is_reachable == self.is_reachable {
             return;
--- a/crates/daemon/src/guard/job.rs
+++ b/crates/daemon/src/guard/job.rs
@@ -22,6 +22,8 @@
     pub(super) pace: u16,
     /// Requests that ran there then, this one included.
     pub(super) running: usize,
+    /// Start of the target that it was sent to; empty before.
+    pub(super) instance: Box<str>,
     /// The work under way; dropping it ends it.
     pub(super) _work: Option<kernel::Task<()>>,
 }
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -154,6 +154,7 @@
             nonce: fastrand::u64(..),
             pace: 0,
             running: 0,
+            instance: "".into(),
             request: Rc::new(request),
             _work: None,
         };
@@ -253,6 +254,7 @@
         job.stage = Stage::Running;
         job.pace = pace;
         job.running = self.gate.in_flight();
+        job.instance = target.identity().instance.clone();
         let (request, deadline) = (job.request.clone(), job.deadline);
         let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
         job._work = Some(self.kernel.spawn(async move {
@@ -285,7 +287,7 @@
         match run {
             Run::Overdue => self.refuse(job, Reason::Late, Duration::ZERO),
             Run::Unreachable => {
-                self.reachable(false);
+                self.found_unreachable(&job.instance);
                 self.refuse(job, Reason::Unreachable, DOWN_RETRY_AFTER);
             }
             Run::Answered(answer) => self.answered(now, job, answer, service),
@@ -309,7 +311,7 @@
         self.observe_report(now, &answer);
         match answer.fate {
             Fate::Moved => {
-                self.moved();
+                self.moved(&job.instance);
                 self.refuse(job, Reason::Leaving, Duration::ZERO);
             }
             Fate::NotRun => {
@@ -371,7 +373,7 @@
 
     /// The target died. All requests in flight are suspected of it.
     fn crashed(&mut self, ticket: Ticket, job: &Job) {
-        self.reachable(false);
+        self.found_unreachable(&job.instance);
         if self.crash.remove(&ticket) {
             return;
         }
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -129,6 +129,11 @@
     let calm_at = Instant::now();
     let is_back = || callers.serves_well() && mesh.is_whole();
     let back = crate::fleet::wait_until(RECOVERY, is_back);
+    if back.is_none() {
+        for line in mesh.describe() {
+            eprintln!("  {line}");
+        }
+    }
     std::thread::sleep(CALM);
     let records = callers.stop();
     report.calls += records.len();
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -180,6 +180,15 @@
         })
     }
 
+    /// What each daemon says of its target and of the members it knows.
+    pub(super) fn describe(&self) -> Vec<String> {
+        let describe = |(number, host): (usize, &Host)| {
+            let state = get(host.admin, "/state").unwrap_or_default();
+            format!("daemon {number}: {} {}", state["target"], state["members"])
+        };
+        self.hosts.iter().enumerate().map(describe).collect()
+    }
+
     /// Address of the store.
     pub fn store(&self) -> SocketAddr {
         self.store
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -1,8 +1,10 @@
 //! The whole path on the platform's interface, with real processes.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
+use std::sync::mpsc::Receiver;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use lab::fleet::{wait_for, wait_until, with_store};
@@ -432,3 +434,92 @@
     assert_eq!(lost.count(), 0, "{lines:?}");
     assert_eq!(call(mesh.callers(1), "GET", "/read/x", "r-1", 900).status, 200);
 }
+
+/// Plays a target on `listener`: it holds the request `held` until it is told to go on,
+/// and answers then that it is not the one that was meant.
+fn play_target(listener: TcpListener, go_on: Receiver<()>) {
+    let go_on = Arc::new(Mutex::new(go_on));
+    for stream in listener.incoming().map_while(Result::ok) {
+        let go_on = go_on.clone();
+        std::thread::spawn(move || {
+            let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+            let mut stream = stream;
+            loop {
+                let head: Vec<String> = reader
+                    .by_ref()
+                    .lines()
+                    .map_while(Result::ok)
+                    .take_while(|line| !line.is_empty())
+                    .collect();
+                let Some(first) = head.first() else {
+                    return;
+                };
+                let id = head.iter().find_map(|line| {
+                    let (name, value) = line.split_once(": ")?;
+                    name.eq_ignore_ascii_case("bronzeport-request-id").then(|| value.to_owned())
+                });
+                let id = id.unwrap_or_default();
+                let status = match (first.contains("/healthz"), &*id) {
+                    (false, "held") => {
+                        let _ = go_on.lock().expect("one request is held").recv();
+                        "421 Misdirected"
+                    }
+                    _ => "200 OK",
+                };
+                let answer = format!(
+                    "HTTP/1.1 {status}\r\nbronzeport-request-id: {id}\r\n\
+                     bronzeport-server-signature: s\r\ncontent-length: 0\r\n\r\n"
+                );
+                if stream.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Soak seed 24 beside others: a target had started anew at its address when it answered
+/// 421 to a request that was meant for its earlier start. The guard took that for the new
+/// one, and heard nothing of it any more.
+#[test]
+fn a_late_421_for_an_earlier_start_does_not_put_the_new_one_out_of_use() {
+    let mesh = mesh();
+    for host in [2, 4] {
+        mesh.tell_target(host, &json!({ "leave": true }));
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let (tell, go_on) = std::sync::mpsc::channel();
+    std::thread::spawn(move || play_target(listener, go_on));
+    let announce = |instance: &str, later_ms: u64| {
+        let body = json!({
+            "address": address.to_string(),
+            "born": lab::sidecar::unix_millis() + later_ms,
+            "info": { "service": "desk", "version": "v1", "zone": "zone-0", "slots": 8 },
+            "status": { "state": "ready", "sequence": 1, "cold_remaining": "0ms" },
+        });
+        let body = body.to_string();
+        let head = format!(
+            "POST /api/Instances.Heartbeat/{instance} HTTP/1.1\r\nhost: a\r\n\
+             connection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let answer = raw(mesh.announce(0), format!("{head}{body}").as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    };
+    announce("i-earlier", 60_000);
+    let entry = mesh.callers(0);
+    let held = std::thread::spawn(move || call(entry, "GET", "/read/1", "held", 4000));
+    std::thread::sleep(Duration::from_millis(300));
+    announce("i-later", 120_000);
+    tell.send(()).expect("the target plays");
+    held.join().expect("the caller gets an answer");
+    // Its answers are empty, other than those of the host's first target.
+    let is_served = || {
+        let seen = call(entry, "GET", "/read/2", "next", 1000);
+        seen.status == 200 && seen.body.is_empty()
+    };
+    assert!(wait_until(Duration::from_secs(3), is_served).is_some(), "it is not served");
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(is_served(), "it is served no more");
+}
