Web: requests of one connection run beside each other

Change: the connection's own framing (httparse for heads and chunk sizes) in place of hyper's server. Requests start as they come, where their handler lets others run beside them; answers go out in order. What may not be repeated waits for those ahead of it and nothing starts beside it. 16 requests under way, 1 MiB of answers held, one head read ahead; beyond them the connection is not read. A close goes on the last request under way; what is behind it was not started. The stop waits until answers are written.

Ruled out: a second parser before hyper (two framings of the same bytes, one connection of the library for each request); requests started ahead of hyper by a look at its bytes (the same).

Weighted splits are drawn from a low-discrepancy sequence for each path instead of random numbers.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -1,16 +1,16 @@
 //! The way of a call from its caller to a target and back.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::Response;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::{Request, Response};
-use kernel::{Clock, Kernel, Mailbox};
-use once::Arrival;
-use route::Node;
+use hyper::http::request::Parts;
+use kernel::{Clock, Expired, Kernel, Mailbox};
+use route::{Node, Splits};
+use web::{Arrival, BodyError, Place};
 use wire::{Answer, Outcome, Reason};
 
 use crate::attempt::Attempts;
@@ -20,8 +20,6 @@
 use crate::journal::{self, Event};
 use crate::{configuration, guard, names, router};
 
-/// Time limit of a caller's body.
-const BODY_TIME: Duration = Duration::from_secs(10);
 /// When to come back while the platform is down.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -36,11 +34,19 @@
     journal: Mailbox<journal::Ask>,
     claims: Claims,
     attempts: Attempts,
+    splits: RefCell<Splits>,
     in_flight: Cell<usize>,
     finished: Cell<u64>,
     stage: Cell<Stage>,
 }
 
+/// Whether a request may run.
+enum Turn {
+    Come,
+    /// Its time was over before those ahead of it had their answers.
+    TooLate,
+}
+
 /// How far the entry is from its stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -69,6 +75,7 @@
             journal: kernel.service(names::JOURNAL),
             claims: Claims::new(kernel),
             attempts: Attempts::new(kernel, node, guard),
+            splits: RefCell::new(Splits::with_seed(node)),
             in_flight: Cell::new(0),
             finished: Cell::new(0),
             stage: Cell::new(Stage::Serving),
@@ -96,10 +103,10 @@
     }
 
     /// Answers one request of a caller.
-    pub(crate) async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Bytes> {
+    pub(crate) async fn handle(self: Rc<Self>, arrival: Arrival) -> Response<Bytes> {
         let _counted = Counted::new(&self);
-        let arrived = self.clock.now();
-        let last = self.answer(arrived, request).await;
+        let arrived = arrival.place.arrived();
+        let last = self.answer(arrival).await;
         self.finished.set(self.finished.get() + 1);
         let Answer { outcome, reason, .. } = last.answer;
         let mut response = (self.edge.write_response)(&last);
@@ -123,8 +130,10 @@
         response
     }
 
-    async fn answer(&self, arrived: Instant, request: Request<Incoming>) -> Final {
-        let call = match self.read(request).await {
+    async fn answer(&self, arrival: Arrival) -> Final {
+        let Arrival { head, body, place } = arrival;
+        let arrived = place.arrived();
+        let call = match self.read(&head, body).await {
             Ok(call) => call,
             Err(refused) => return self.refusal(None, refused),
         };
@@ -135,14 +144,18 @@
             depth: call.depth,
             revision: treatment.revision,
             deadline_ms: call.deadline.as_millis() as u64,
+            ahead: place.ahead(),
         };
         self.note(&call.id, event);
         let mut waiting = Caller { entry: self, id: Some(call.id.clone()), arrived };
         let deadline = arrived + call.deadline;
-        let answer = match self.check(&call).await {
-            Some(answer) => self.settle_refusal(&call, None, answer).await,
-            None if call.is_claimed() => self.run_once(&call, deadline).await,
-            None => self.attempts.run(&call, deadline, "").await,
+        let answer = match self.wait_for_turn(&call, &place, deadline).await {
+            Turn::Come => match self.check(&call).await {
+                Some(answer) => self.settle_refusal(&call, None, answer).await,
+                None if call.is_claimed() => self.run_once(&call, deadline).await,
+                None => self.attempts.run(&call, deadline, "").await,
+            },
+            Turn::TooLate => Answer::refusal(Outcome::NotRun, Reason::Late, self.node),
         };
         waiting.id = None;
         let is_late = self.clock.now() > arrived + call.treatment.aim;
@@ -157,26 +170,34 @@
         }
     }
 
-    async fn read(&self, request: Request<Incoming>) -> Result<Call, Refused> {
-        let (parts, body) = request.into_parts();
-        let head = (self.edge.read_head)(&parts)?;
+    /// A request that may run more than once runs beside the others of its connection.
+    /// Any other waits for those before it: once one of their answers closes the
+    /// connection, the caller takes those behind it not to have run.
+    async fn wait_for_turn(&self, call: &Call, place: &Place, deadline: Instant) -> Turn {
+        if call.is_repeatable() {
+            place.share();
+            return Turn::Come;
+        }
+        let left = deadline.saturating_duration_since(self.clock.now());
+        match self.clock.timeout(left, place.first()).await {
+            Ok(()) => Turn::Come,
+            Err(Expired) => Turn::TooLate,
+        }
+    }
+
+    async fn read(&self, head: &Parts, body: Result<Bytes, BodyError>) -> Result<Call, Refused> {
+        let head = (self.edge.read_head)(head)?;
         let (service, treatment) = self.treatment(&head).await?;
-        let body_bytes = treatment.body_bytes;
-        let reading = web::read_body(body, body_bytes);
-        let body = match self.clock.timeout(BODY_TIME, reading).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(web::BodyError::TooLarge)) => {
-                let text = format!("the body is larger than {body_bytes} bytes");
-                return Err(refused(Reason::TooLarge, text));
+        let most = treatment.body_bytes;
+        match body {
+            Ok(body) if body.len() <= most => Call::new(head, service, treatment, body),
+            Ok(_) | Err(BodyError::TooLarge) => {
+                let text = format!("the body is larger than {most} bytes");
+                Err(refused(Reason::TooLarge, text))
             }
-            Ok(Err(web::BodyError::Broken)) => {
-                return Err(refused(Reason::BadRequest, "the body did not come whole"));
-            }
-            Err(kernel::Expired) => {
-                return Err(refused(Reason::Slow, "the body did not come in time"));
-            }
-        };
-        Call::new(head, service, treatment, body)
+            Err(BodyError::Broken) => Err(refused(Reason::BadRequest, "the body is malformed")),
+            Err(BodyError::Slow) => Err(refused(Reason::Slow, "the body did not come in time")),
+        }
     }
 
     /// What the configuration says of a request: its service and its treatment.
@@ -199,7 +220,8 @@
                 };
                 let found = self.configuration.ask(ask).await.flatten();
                 let found = found.and_then(|found| {
-                    let service = found.path.service(fastrand::f64())?.into();
+                    let draw = self.splits.borrow_mut().draw(&found.path.name);
+                    let service = found.path.service(draw)?.into();
                     let body_bytes = found.bounds.body_bytes;
                     Some((service, Treatment::of_path(&found.path, found.revision, body_bytes)))
                 });
@@ -248,10 +270,14 @@
         };
         let row = standing.as_ref().map(|standing| &standing.row);
         match once::decide_arrival(row, call.fingerprint) {
-            Arrival::Conflict => Answer::refusal(Outcome::Unknown, Reason::Conflict, self.node),
-            Arrival::Refused => Answer::refusal(Outcome::NotRun, Reason::RefusedBefore, self.node),
-            Arrival::Ask { node, ended } => self.recall(call, deadline, node, ended).await,
-            Arrival::Proceed => {
+            once::Arrival::Conflict => {
+                Answer::refusal(Outcome::Unknown, Reason::Conflict, self.node)
+            }
+            once::Arrival::Refused => {
+                Answer::refusal(Outcome::NotRun, Reason::RefusedBefore, self.node)
+            }
+            once::Arrival::Ask { node, ended } => self.recall(call, deadline, node, ended).await,
+            once::Arrival::Proceed => {
                 let tag = standing.map(|standing| standing.tag).unwrap_or_default();
                 let answer = self.attempts.run(call, deadline, &tag).await;
                 match answer.reason {
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -39,7 +39,15 @@
 #[serde(tag = "event", rename_all = "kebab-case")]
 pub(crate) enum Event {
     /// It arrived from a caller.
-    Arrived { service: Box<str>, kind: Box<str>, depth: u8, revision: u64, deadline_ms: u64 },
+    Arrived {
+        service: Box<str>,
+        kind: Box<str>,
+        depth: u8,
+        revision: u64,
+        deadline_ms: u64,
+        /// Requests before it on its connection that had no answer yet.
+        ahead: u64,
+    },
     /// It was sent to a guard.
     Sent {
         #[serde(serialize_with = "write_hex")]
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,7 +14,7 @@
 use route::Policy;
 use store::Store;
 use tokio::net::TcpStream;
-use web::{Limits, Serving};
+use web::{Busy, Limits, Serving};
 use wire::{Answering, Question, Reply, Uplink};
 
 use crate::edge::Edge;
@@ -30,6 +30,8 @@
     head_time: Duration::from_secs(10),
     head_bytes: 64 * 1024,
     headers: 64,
+    body_time: Duration::from_secs(10),
+    body_bytes: wire::MAX_BODY_BYTES,
     connections: 4096,
 };
 /// Connections of other daemons at a time.
@@ -158,7 +160,7 @@
         kernel,
         callers,
         CALLER_LIMITS,
-        Rc::new(move |request, _| Box::pin(handler.clone().handle(request))),
+        Rc::new(move |arrival| Box::pin(handler.clone().handle(arrival))),
     )
     .describe(|| "callers' port".into())?;
     Ok(Running { entry, callers, surroundings })
@@ -182,6 +184,7 @@
 ) -> Stopped {
     let within = settings.stop_within;
     let Running { entry, callers, surroundings } = running;
+    let busy = callers.busy();
     surroundings.leave();
     // A target that announces itself may stay while its daemon is replaced, and
     // tells when it leaves. It serves others until the callers here are gone.
@@ -208,7 +211,7 @@
             leave(kernel);
         }
         entry.refuse();
-        while in_flight(kernel, &entry).await > 0 {
+        while in_flight(kernel, &entry, &busy).await > 0 {
             kernel.clock().sleep(STOP_POLL).await;
         }
     };
@@ -221,7 +224,7 @@
     if kernel.clock().timeout(within, finish).await.is_err() {
         log::warn!("the wait for requests in flight is over");
     }
-    let cut = in_flight(kernel, &entry).await;
+    let cut = in_flight(kernel, &entry, &busy).await;
     let membership: Mailbox<membership::Ask> = kernel.service(names::MEMBERSHIP);
     membership.send(membership::Ask::Left);
     // The answer shows that the announcement has been sent.
@@ -236,10 +239,11 @@
     log::info!("asked to reload: the settings of this process stay until its next start");
 }
 
-async fn in_flight(kernel: &Kernel, entry: &Entry) -> usize {
+/// Requests without an answer, and callers whose answers are still being written.
+async fn in_flight(kernel: &Kernel, entry: &Entry, busy: &Busy) -> usize {
     let guard: Mailbox<guard::Ask> = kernel.service(names::GUARD);
     let guarded = guard.ask(|reply| guard::Ask::Busy { reply }).await.unwrap_or(0);
-    entry.in_flight() + guarded
+    entry.in_flight().max(busy.count()) + guarded
 }
 
 pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/crates/daemon/src/surroundings.rs
+++ b/crates/daemon/src/surroundings.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use kernel::{Kernel, Mailbox};
-use web::{Limits, Serving};
+use web::{Arrival, Limits, Serving};
 
 use crate::edge::Edge;
 use crate::node::{Describe, StartError, listen};
@@ -21,6 +20,8 @@
     head_time: Duration::from_secs(60),
     head_bytes: 16 * 1024,
     headers: 64,
+    body_time: NOTICE_TIME,
+    body_bytes: MAX_NOTICE_BYTES,
     connections: 64,
 };
 /// Bytes of the largest notice.
@@ -47,16 +48,15 @@
     let mut serving = Vec::new();
     if let Some(address) = settings.announce {
         let kernel_of_notices = kernel.clone();
-        let handler: web::Handler = Rc::new(move |request, _| {
-            Box::pin(take_notice(kernel_of_notices.clone(), edge, request))
-        });
+        let handler: web::Handler =
+            Rc::new(move |arrival| Box::pin(take_notice(kernel_of_notices.clone(), edge, arrival)));
         let open = web::serve(kernel, listen(address)?, LIMITS, handler);
         serving.push(open.describe(|| "target's port".into())?);
     }
     if let Some(address) = settings.ready {
         let (asked, is_leaving) = (kernel.clone(), is_leaving.clone());
         let handler: web::Handler =
-            Rc::new(move |_, _| Box::pin(tell_ready(asked.clone(), is_leaving.get())));
+            Rc::new(move |_| Box::pin(tell_ready(asked.clone(), is_leaving.get())));
         let open = web::serve(kernel, listen(address)?, LIMITS, handler);
         serving.push(open.describe(|| "readiness port".into())?);
     }
@@ -73,13 +73,11 @@
     }
 }
 
-async fn take_notice(kernel: Kernel, edge: Edge, request: Request<Incoming>) -> Response<Bytes> {
+async fn take_notice(kernel: Kernel, edge: Edge, arrival: Arrival) -> Response<Bytes> {
     let Some(read) = edge.read_notice else {
         return answer(StatusCode::NOT_FOUND, "{}");
     };
-    let (head, body) = request.into_parts();
-    let reading = web::read_body(body, MAX_NOTICE_BYTES);
-    let Ok(Ok(body)) = kernel.clock().timeout(NOTICE_TIME, reading).await else {
+    let Arrival { head, body: Ok(body), .. } = arrival else {
         return answer(StatusCode::BAD_REQUEST, "{}");
     };
     match read(&head.method, head.uri.path(), &body) {
--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -16,12 +16,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use kernel::Kernel;
 use serde_json::{Value, json};
-use web::{Client, Limits, Reuse, read_body};
+use web::{Arrival, Client, Limits, Reuse};
 
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 /// Time between two announcements.
@@ -84,11 +83,13 @@
         head_time: Duration::from_secs(60),
         head_bytes: 64 * 1024,
         headers: 100,
+        body_time: Duration::from_secs(60),
+        body_bytes: MAX_BODY_BYTES,
         connections: 1000,
     };
     let announcing = target.clone();
     kernel.start(async move { announcing.announce().await });
-    let handler: web::Handler = Rc::new(move |request, _| Box::pin(target.clone().handle(request)));
+    let handler: web::Handler = Rc::new(move |arrival| Box::pin(target.clone().handle(arrival)));
     web::serve(kernel, listener, limits, handler)
 }
 
@@ -134,9 +135,9 @@
             .expect("a valid request")
     }
 
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Bytes> {
-        let (head, body) = request.into_parts();
-        let body = read_body(body, MAX_BODY_BYTES).await.unwrap_or_default();
+    async fn handle(self: Rc<Self>, arrival: Arrival) -> Response<Bytes> {
+        let head = arrival.head;
+        let body = arrival.body.unwrap_or_default();
         let path = head.uri.path().to_owned();
         if path == "/lab" {
             self.set(&body);
--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/standin.rs
@@ -8,16 +8,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Response};
 use kernel::Kernel;
 use serde_json::{Value, json};
-use web::{Limits, read_body};
+use web::{Arrival, Limits};
 
 const LIMITS: Limits = Limits {
     head_time: Duration::from_secs(30),
     head_bytes: 64 * 1024,
     headers: 64,
+    body_time: Duration::from_secs(30),
+    body_bytes: MAX_BODY_BYTES,
     connections: 10_000,
 };
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -114,19 +115,17 @@
 pub fn serve(kernel: &Kernel, listener: TcpListener, seed: u64) -> std::io::Result<web::Serving> {
     let standin = Rc::new(RefCell::new(Standin::new(seed)));
     let kernel_of_calls = kernel.clone();
-    let handler: web::Handler = Rc::new(move |request, _| {
-        Box::pin(handle(kernel_of_calls.clone(), standin.clone(), request))
-    });
+    let handler: web::Handler =
+        Rc::new(move |arrival| Box::pin(handle(kernel_of_calls.clone(), standin.clone(), arrival)));
     web::serve(kernel, listener, LIMITS, handler)
 }
 
 async fn handle(
     kernel: Kernel,
     standin: Rc<RefCell<Standin>>,
-    request: Request<Incoming>,
+    arrival: Arrival,
 ) -> Response<Bytes> {
-    let (parts, body) = request.into_parts();
-    let Ok(body) = read_body(body, MAX_BODY_BYTES).await else {
+    let Arrival { head: parts, body: Ok(body), .. } = arrival else {
         return answer(413, json!({}));
     };
     let call = Call {
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -11,11 +11,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use kernel::{Inbox, Kernel, Mailbox, mailbox};
 use serde_json::{Value, json};
-use web::{Limits, read_body};
+use web::{Arrival, Limits};
 
 use crate::service_time::ServiceTime;
 
@@ -107,16 +106,17 @@
         head_time: Duration::from_secs(60),
         head_bytes: 64 * 1024,
         headers: 100,
+        body_time: Duration::from_secs(60),
+        body_bytes: MAX_BODY_BYTES,
         connections: settings.connections,
     };
-    let handler: web::Handler =
-        Rc::new(move |request, _| Box::pin(handle(target.clone(), request)));
+    let handler: web::Handler = Rc::new(move |arrival| Box::pin(handle(target.clone(), arrival)));
     web::serve(kernel, listener, limits, handler)
 }
 
-async fn handle(target: Rc<Target>, request: Request<Incoming>) -> Response<Bytes> {
-    let (parts, body) = request.into_parts();
-    let body = read_body(body, MAX_BODY_BYTES).await.unwrap_or_default();
+async fn handle(target: Rc<Target>, arrival: Arrival) -> Response<Bytes> {
+    let parts = arrival.head;
+    let body = arrival.body.unwrap_or_default();
     if parts.uri.path() == "/lab" {
         target.set(&body);
         let busy_us = target.busy.get().as_micros() as u64;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -22,6 +22,7 @@
 mod policy;
 mod pool;
 mod retry;
+mod split;
 mod subset;
 mod work;
 
@@ -30,6 +31,7 @@
 pub use policy::Policy;
 pub use pool::{Call, Choice, Ending, Expected, Past, Pool};
 pub use retry::{Failure, Retry, Situation, decide_retry};
+pub use split::Splits;
 pub use subset::{MAX_USED, pick_subset};
 pub use work::{USUAL_PACE, Works, guess_work, pace_factor};
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 towards callers and targets.
 //!
-//! The server bounds the time and size of headers, the size and time of
-//! bodies and the number of connections, and drops the work of a request
-//! whose caller has gone. The client tells for each failure whether the
+//! The server bounds the time and size of heads and bodies and the number of
+//! connections, and drops the work of a request whose caller has gone. Requests
+//! of one connection may run beside each other; their answers keep their order. The client tells for each failure whether the
 //! request may have reached the other side.
 //!
 //! ```
@@ -16,8 +16,15 @@
 //! assert!(matches!(result, Err(Fault::NotSent)));
 //! ```
 
+mod answer;
 mod client;
+mod connection;
+mod frame;
+mod line;
 mod server;
 
 pub use client::{Client, Fault, Reuse};
-pub use server::{BodyError, Handler, Limits, Serving, read_body, serve};
+pub use connection::{Arrival, Handler};
+pub use frame::BodyError;
+pub use line::Place;
+pub use server::{Busy, Limits, Serving, serve};
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -1,28 +1,18 @@
 //! What the callers' side bounds, and what the targets' side tells.
 
+mod common;
+
 use std::cell::Cell;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::{MAX_OPEN, exchange, listener, with_server};
 use hyper::{Request, Response};
 use kernel::Kernel;
-use web::{BodyError, Client, Fault, Handler, Limits, Reuse, read_body, serve};
-
-const LIMITS: Limits = Limits {
-    head_time: Duration::from_millis(300),
-    head_bytes: 16 * 1024,
-    headers: 16,
-    connections: MAX_OPEN,
-};
-/// Connections that the servers here take at a time.
-const MAX_OPEN: usize = 4;
-
-fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
-}
+use web::{Arrival, BodyError, Client, Fault, Handler, Reuse};
 
 fn listener_of_runtime() -> (tokio::net::TcpListener, SocketAddr) {
     let listener = listener();
@@ -31,66 +21,47 @@
     (tokio::net::TcpListener::from_std(listener).expect("a listener"), address)
 }
 
-/// Serves with `handler` while `exchange` runs on a thread of its own.
-fn with_server<T: Send + 'static>(
-    handler: Handler,
-    exchange: impl FnOnce(SocketAddr) -> T + Send + 'static,
-) -> T {
-    let kernel = Kernel::new().expect("a runtime");
-    kernel.run(async {
-        let serving = serve(&kernel, listener(), LIMITS, handler).expect("it serves");
-        let address = serving.address();
-        let thread = std::thread::spawn(move || exchange(address));
-        while !thread.is_finished() {
-            kernel.clock().sleep(Duration::from_millis(5)).await;
-        }
-        thread.join().expect("the exchange ends")
-    })
-}
-
 fn answering(text: &'static str) -> Handler {
-    Rc::new(move |_, _| Box::pin(async move { Response::new(Bytes::from_static(text.as_bytes())) }))
-}
-
-fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
-    let mut stream = TcpStream::connect(address).expect("the port is open");
-    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a valid time");
-    let _ = stream.write_all(bytes);
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
+    Rc::new(move |_| Box::pin(async move { Response::new(Bytes::from_static(text.as_bytes())) }))
 }
 
 #[test]
 fn a_head_that_does_not_end_is_cut_off() {
     let answer =
-        with_server(answering("ok"), |address| exchange(address, b"GET / HTTP/1.1\r\nx: "));
+        with_server(|_| answering("ok"), |address| exchange(address, b"GET / HTTP/1.1\r\nx: "));
     assert!(!answer.contains("200"), "{answer}");
 }
 
 #[test]
 fn a_head_that_is_too_large_is_refused() {
-    let answer = with_server(answering("ok"), |address| {
-        exchange(
-            address,
-            format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "a".repeat(64 * 1024)).as_bytes(),
-        )
-    });
+    let answer = with_server(
+        |_| answering("ok"),
+        |address| {
+            exchange(
+                address,
+                format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "a".repeat(64 * 1024)).as_bytes(),
+            )
+        },
+    );
     assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431"), "{answer}");
 }
 
 #[test]
 fn connections_over_the_limit_are_closed_and_the_others_served() {
-    let answers = with_server(answering("ok"), |address| {
-        let idle: Vec<TcpStream> =
-            (0..4).map(|_| TcpStream::connect(address).expect("the port is open")).collect();
-        std::thread::sleep(Duration::from_millis(50));
-        let over = exchange(address, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
-        drop(idle);
-        std::thread::sleep(Duration::from_millis(100));
-        let after = exchange(address, b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
-        (over, after)
-    });
+    let answers = with_server(
+        |_| answering("ok"),
+        |address| {
+            let idle: Vec<TcpStream> =
+                (0..4).map(|_| TcpStream::connect(address).expect("the port is open")).collect();
+            std::thread::sleep(Duration::from_millis(50));
+            let over = exchange(address, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+            drop(idle);
+            std::thread::sleep(Duration::from_millis(100));
+            let after =
+                exchange(address, b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+            (over, after)
+        },
+    );
     assert!(answers.0.is_empty(), "{answers:?}");
     assert!(answers.1.contains("200 OK"), "{answers:?}");
 }
@@ -105,41 +76,47 @@
     }
     let is_dropped = Rc::new(Cell::new(false));
     let seen = is_dropped.clone();
-    let handler: Handler = Rc::new(move |_, _| {
+    let handler: Handler = Rc::new(move |_| {
         let flag = Flag(seen.clone());
         Box::pin(async move {
             let _flag = flag;
             std::future::pending().await
         })
     });
-    with_server(handler, |address| {
-        let mut stream = TcpStream::connect(address).expect("the port is open");
-        stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").expect("it takes bytes");
-        std::thread::sleep(Duration::from_millis(50));
-        drop(stream);
-        std::thread::sleep(Duration::from_millis(100));
-    });
+    with_server(
+        |_| handler,
+        |address| {
+            let mut stream = TcpStream::connect(address).expect("the port is open");
+            stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").expect("it takes bytes");
+            std::thread::sleep(Duration::from_millis(50));
+            drop(stream);
+            std::thread::sleep(Duration::from_millis(100));
+        },
+    );
     assert!(is_dropped.get());
 }
 
 #[test]
 fn a_body_over_the_limit_is_refused_after_it_was_read() {
-    let handler: Handler = Rc::new(|request: Request<hyper::body::Incoming>, _| {
+    let handler: Handler = Rc::new(|arrival: Arrival| {
         Box::pin(async move {
-            let result = read_body(request.into_body(), 1000).await;
-            let text = match result {
+            let text = match arrival.body {
                 Ok(_) => "whole",
                 Err(BodyError::TooLarge) => "too large",
                 Err(BodyError::Broken) => "broken",
+                Err(BodyError::Slow) => "slow",
             };
             Response::new(Bytes::from_static(text.as_bytes()))
         })
     });
-    let answer = with_server(handler, |address| {
-        let head =
-            "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4000\r\n\r\n";
-        exchange(address, format!("{head}{}", "x".repeat(4000)).as_bytes())
-    });
+    let answer = with_server(
+        |_| handler,
+        |address| {
+            let head =
+                "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4000\r\n\r\n";
+            exchange(address, format!("{head}{}", "x".repeat(4000)).as_bytes())
+        },
+    );
     assert!(answer.contains("too large"), "{answer}");
 }
 
