Gate: a target that is full from the start is tried with fewer requests

The knee was never found: (1) daemons that start under the callers' return see no run below it; (2) what is usual was learned from crowded runs, too, so that they came to look usual and the ratio above the knee went back to 1.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Ticket;
-use crate::knee::Knee;
+use crate::knee::{Knee, is_crowded};
 use crate::limit::Limit;
 use crate::pace::Pace;
 use crate::queue::{Class, Present, Queue, Waiting};
@@ -180,6 +180,12 @@
         self.knee.observe(service, usual, running, self.stated);
     }
 
+    /// Whether requests that run beside each other, `running` of them, may slow each
+    /// other down: the time of one tells nothing then of what is usual.
+    pub fn is_crowded(&self, running: usize) -> bool {
+        is_crowded(running, self.stated)
+    }
+
     /// Takes a waiting request out. `false` when it does not wait: it runs or
     /// has ended.
     pub fn withdraw(&mut self, ticket: Ticket) -> bool {
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -182,6 +182,45 @@
     assert_eq!(even.slots(), 9, "a target that does not slow down keeps all");
 }
 
+/// Plays runs at a target that is full all the time and slows down by `slow` when more
+/// than four of five slots are taken, and gives the slots used at the end. What is usual
+/// is learned from the runs, as the guard does.
+fn play_full(slots: u16, slow: f64, runs: usize) -> u16 {
+    let mut gate = open_gate(slots);
+    let mut usual: Option<Duration> = None;
+    for _ in 0..runs {
+        let running = usize::from(gate.slots());
+        let is_slowed = running > usize::from(slots) * 4 / 5;
+        let service = WORK.mul_f64(if is_slowed { slow } else { 1.0 });
+        if let Some(usual) = usual {
+            gate.observe_usual(service, usual, running);
+        }
+        usual = match usual {
+            Some(usual) if gate.is_crowded(running) => Some(usual),
+            Some(usual) => Some(usual.mul_f64(if service > usual { 1.05 } else { 1.0 / 1.05 })),
+            None => Some(service),
+        };
+    }
+    gate.slots()
+}
+
+/// Pattern: callers return to a daemon that has just started, so that its target is full
+/// before anything is known of it. No run shows what it does with fewer at a time.
+#[test]
+fn a_target_that_is_full_from_the_start_is_tried_with_fewer() {
+    assert_eq!(play_full(12, 1.7, 200), 9);
+    assert_eq!(play_full(12, 1.0, 200), 12, "one that does not slow down keeps all");
+}
+
+/// Pattern: hours at full load. What is usual must not be learned from runs that slow
+/// each other down, or they come to look usual.
+#[test]
+fn a_target_that_stays_full_keeps_its_fewer_slots() {
+    let slots: Vec<u16> = (5000..5900).map(|runs| play_full(12, 1.7, runs)).collect();
+    let at_most = slots.iter().filter(|slots| **slots == 9).count();
+    assert!(at_most * 10 > slots.len() * 9, "{at_most} of {}", slots.len());
+}
+
 /// Pattern: a target turns slow for half a second while requests wait whose answers
 /// are due in less than it would take them then.
 #[test]
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -322,12 +322,7 @@
                 self.holds.observe_answer(now, job.request.fingerprint);
                 let pace = self.pace();
                 if pace == job.pace && answer.status < 500 {
-                    let kind = &job.request.kind;
-                    if let Some(usual) = self.works.usual(kind) {
-                        let usual = usual.mul_f64(pace_factor(pace));
-                        self.gate.observe_usual(service, usual, job.running);
-                    }
-                    self.works.observe(kind, service, pace);
+                    self.observe_run(&job, service);
                 }
                 let answer = self.answer_of(answer, service);
                 self.finish(job, answer);
@@ -335,6 +330,18 @@
         }
     }
 
+    /// Learns from a run during which the pace has not changed.
+    fn observe_run(&mut self, job: &Job, service: Duration) {
+        let kind = &job.request.kind;
+        let usual = self.works.usual(kind);
+        if let Some(usual) = usual {
+            self.gate.observe_usual(service, usual.mul_f64(pace_factor(job.pace)), job.running);
+        }
+        if usual.is_none() || !self.gate.is_crowded(job.running) {
+            self.works.observe(kind, service, job.pace);
+        }
+    }
+
     fn answer_of(&self, answer: TargetAnswer, service: Duration) -> Answer {
         let reason = match answer.fate {
             Fate::Shed => Reason::TargetShed,
