Membership: news of crashes is told a bounded number of times

Each crash tells of all requests in flight there, some 400 in all. A daemon remembered 64 of them; one that it had forgotten counted as new when it was heard again and was told to five others at once, twelve times: news of crashes multiplied for ever (2 GB between zones in 5 s, 212 processor seconds, no configuration taken in by a daemon of 0.1 core). Its small twin has too few targets for it.

Ruled out: second sends and redirects (a few thousand), lists after restarts (10 KB/s a daemon by their pause).

Change: member::Rumours remembers 4,096 statements, tells each twelve times at most, and a daemon tells on at most five times a second.

--- a/crates/admit/src/hold.rs
+++ b/crates/admit/src/hold.rs
@@ -27,7 +27,7 @@
 const MAX_REMEMBERED: usize = 4096;
 
 /// That a request was in flight at a crash, as daemons tell each other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Hold {
     /// The request.
     pub fingerprint: Fingerprint,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,7 +7,7 @@
 use admit::Hold;
 use futures_lite::FutureExt;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use member::{Action, Kind, Member, Members, Message, State};
+use member::{Action, Kind, Member, Members, Message, Rumours, State};
 use route::{Load, Node};
 use store::{Condition, Write};
 use tokio::net::UdpSocket;
@@ -25,6 +25,9 @@
 /// Holds in one datagram, and how often one is sent.
 const MAX_HOLDS: usize = 16;
 const HOLD_SENDS: u32 = 12;
+/// Least time between two rounds in which holds are told on: with five datagrams of
+/// 1 kB in a round the budget of a daemon's control traffic.
+const HOLDS_EVERY: Duration = Duration::from_millis(200);
 /// Members in one answer when lists are compared, and answers at most.
 const SYNC_PAGE: usize = 1000;
 const MAX_SYNC_PAGES: usize = 64;
@@ -114,7 +117,8 @@
         told_version: u64::MAX,
         told_at: None,
         revision: 0,
-        holds: Vec::new(),
+        holds: Rumours::new(HOLD_SENDS),
+        holds_told_at: None,
         load: None,
         heard_at: None,
         gone: HashSet::new(),
@@ -132,7 +136,9 @@
     told_version: u64,
     told_at: Option<Instant>,
     revision: u64,
-    holds: Vec<(Hold, u32)>,
+    holds: Rumours<Hold>,
+    /// When holds were last told to several members.
+    holds_told_at: Option<Instant>,
     load: Option<Load>,
     heard_at: Option<Instant>,
     gone: HashSet<Node>,
@@ -151,6 +157,7 @@
                     next_tick = now + TICK;
                     let actions = self.members.tick(now);
                     self.act(actions);
+                    self.tell_holds_on(now);
                 }
                 Event::Ended => return,
             }
@@ -202,8 +209,8 @@
                 self.spread();
             }
             Ask::Spread(holds) => {
-                self.holds.extend(holds.into_iter().map(|hold| (hold, HOLD_SENDS)));
-                self.spread();
+                self.holds.hear(holds);
+                self.tell_holds_on(now);
             }
             Ask::Load { load, askers } => {
                 self.load = Some(load);
@@ -270,13 +277,21 @@
     }
 
     fn hear_holds(&mut self, holds: Vec<Hold>) {
-        let known: Vec<Hold> = self.holds.iter().map(|(hold, _)| *hold).collect();
-        let news: Vec<Hold> = holds.into_iter().filter(|hold| !known.contains(hold)).collect();
+        let news = self.holds.hear(holds);
         if news.is_empty() {
             return;
         }
         tell_holds(&self.kernel, &news);
-        self.holds.extend(news.into_iter().map(|hold| (hold, HOLD_SENDS)));
+        self.tell_holds_on(self.kernel.clock().now());
+    }
+
+    /// Tells some members of holds, unless that was done just now.
+    fn tell_holds_on(&mut self, now: Instant) {
+        let is_early = self.holds_told_at.is_some_and(|at| now - at < HOLDS_EVERY);
+        if is_early || !self.holds.has_untold() {
+            return;
+        }
+        self.holds_told_at = Some(now);
         self.spread();
     }
 
@@ -302,7 +317,7 @@
             revision: self.revision,
             subject,
             updates: self.members.take_news(),
-            holds: self.take_holds(),
+            holds: self.holds.take(MAX_HOLDS),
             digest: self.members.digest(),
             load: self.load,
         };
@@ -313,19 +328,6 @@
         let _ = self.socket.try_send_to(&bytes, to);
     }
 
-    fn take_holds(&mut self) -> Vec<Hold> {
-        let mut taken = Vec::new();
-        for (hold, left) in self.holds.iter_mut().filter(|(_, left)| *left > 0).take(MAX_HOLDS) {
-            *left -= 1;
-            taken.push(*hold);
-        }
-        // Those that were sent often enough stay a while, to be known again.
-        if self.holds.len() > 4 * MAX_HOLDS {
-            self.holds.drain(..MAX_HOLDS);
-        }
-        taken
-    }
-
     /// Tells the other services when the list has changed. Many changes in a row,
     /// as when a data centre is lost, are told together.
     fn tell_changes(&mut self) {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -30,12 +30,14 @@
 mod members;
 mod news;
 mod peer;
+mod rumour;
 
 pub use askers::Askers;
 pub use detect::{Action, Kind, Message, UnknownKind};
 pub use digest::BUCKETS;
 pub use members::Members;
 pub use peer::{Absence, Member, State, UnknownState};
+pub use rumour::Rumours;
 
 /// Number of a node. The high bits are its start time, so that of two nodes
 /// with one address the greater number is the later one, unless the host's clock has
