Configuration: whether a path exists is one answer

A path was looked up before the table was there, and whether the daemon could judge was asked after it had come.

Change: one question gives found, unknown or not ready.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -4,6 +4,9 @@
 //! from the table. Whatever the way, a lower revision never replaces a higher
 //! one.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -57,9 +60,9 @@
 /// What the service is asked and told.
 pub(crate) enum Ask {
     /// Give the settings of a service.
-    Service { name: Box<str>, reply: Reply<Option<Rc<Service>>> },
+    Service { name: Box<str>, reply: Reply<Lookup<Rc<Service>>> },
     /// Give what the table of paths says of a request.
-    Path { hostname: Box<str>, path: Box<str>, reply: Reply<Option<Found>> },
+    Path { hostname: Box<str>, path: Box<str>, reply: Reply<Lookup<Found>> },
     /// The table of paths as it stands in the store.
     Table { text: Box<str> },
     /// A peer has this revision.
@@ -80,6 +83,17 @@
     State { reply: Reply<State> },
 }
 
+/// What the configuration says of something by its name. It is one answer: between two
+/// questions a configuration may come into force that knows it.
+#[derive(Debug)]
+pub(crate) enum Lookup<T> {
+    Found(T),
+    /// It does not exist.
+    Unknown,
+    /// This daemon does not know yet what exists.
+    NotReady,
+}
+
 /// What the table of paths says of a request.
 #[derive(Debug)]
 pub(crate) struct Found {
@@ -116,7 +130,7 @@
         kernel: kernel.clone(),
         mailbox: mailbox.clone(),
         book: edge.read_table.map_or_else(Book::default, Book::with_table),
-        edge,
+        has_table: edge.read_table.is_some(),
         is_pulling: false,
         is_ready: false,
         confirmed: None,
@@ -133,7 +147,8 @@
 struct Task {
     kernel: Kernel,
     mailbox: Mailbox<Ask>,
-    edge: Edge,
+    /// Whether a table of paths is what is in force.
+    has_table: bool,
     book: Book,
     is_pulling: bool,
     is_ready: bool,
@@ -151,7 +166,7 @@
     fn take(&mut self, ask: Ask) {
         match ask {
             Ask::Service { name, reply } => {
-                reply.send(self.book.service(&name).cloned());
+                reply.send(self.judge(self.book.service(&name).cloned()));
             }
             Ask::Path { hostname, path, reply } => {
                 let table = self.book.table();
@@ -159,7 +174,7 @@
                     let path = table.find(&hostname, &path)?.clone();
                     Some(Found { path, bounds: table.bounds, revision: table.revision })
                 });
-                reply.send(found);
+                reply.send(self.judge(found));
             }
             Ask::Table { text } => self.install_table(text),
             Ask::Heard { revision, from } => self.heard(revision, from),
@@ -178,11 +193,19 @@
         }
     }
 
+    fn judge<T>(&self, found: Option<T>) -> Lookup<T> {
+        match found {
+            Some(found) => Lookup::Found(found),
+            None if self.state().can_judge() => Lookup::Unknown,
+            None => Lookup::NotReady,
+        }
+    }
+
     fn state(&self) -> State {
         let now = self.kernel.clock().now();
-        let limit = match self.edge.read_table {
-            Some(_) => FEED_WAIT * 2,
-            None => self.poll_every * POLLS_UNTIL_UNSURE,
+        let limit = match self.has_table {
+            true => FEED_WAIT * 2,
+            false => self.poll_every * POLLS_UNTIL_UNSURE,
         };
         State {
             revision: self.book.revision(),
@@ -237,7 +260,7 @@
     }
 
     fn installed(&mut self, revision: Revision) {
-        self.is_ready |= self.edge.read_table.is_some();
+        self.is_ready |= self.has_table;
         self.announce(revision);
     }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -16,6 +16,7 @@
 use crate::attempt::Attempts;
 use crate::call::{Call, Treatment, refused};
 use crate::claims::Claims;
+use crate::configuration::{Found, Lookup};
 use crate::edge::{Destination, Edge, Final, Head, Refused};
 use crate::journal::{self, Event};
 use crate::{configuration, guard, names, router};
@@ -205,12 +206,9 @@
         match &head.destination {
             Destination::Service { name } => {
                 let ask = |reply| configuration::Ask::Service { name: name.clone(), reply };
-                match self.configuration.ask(ask).await.flatten() {
-                    Some(service) => {
-                        Ok((service.name.clone(), Treatment::of_rule(&service, head)?))
-                    }
-                    None => Err(self.unknown(Reason::UnknownService, name).await),
-                }
+                let found = self.configuration.ask(ask).await;
+                let service = known(found, Reason::UnknownService, name)?;
+                Ok((service.name.clone(), Treatment::of_rule(&service, head)?))
             }
             Destination::Address { hostname } => {
                 let ask = |reply| configuration::Ask::Path {
@@ -218,33 +216,17 @@
                     path: head.path.clone(),
                     reply,
                 };
-                let found = self.configuration.ask(ask).await.flatten();
-                let found = found.and_then(|found| {
-                    let draw = self.splits.borrow_mut().draw(&found.path.name);
-                    let service = found.path.service(draw)?.into();
-                    let body_bytes = found.bounds.body_bytes;
-                    Some((service, Treatment::of_path(&found.path, found.revision, body_bytes)))
-                });
-                match found {
-                    Some(found) => Ok(found),
-                    None => Err(self.unknown(Reason::UnknownPath, hostname).await),
-                }
+                let found = self.configuration.ask(ask).await;
+                let Found { path, bounds, revision } = known(found, Reason::UnknownPath, hostname)?;
+                let draw = self.splits.borrow_mut().draw(&path.name);
+                let service = path.service(draw).ok_or_else(|| {
+                    refused(Reason::UnknownPath, format!("{} leads to no service", path.name))
+                })?;
+                Ok((service.into(), Treatment::of_path(&path, revision, bounds.body_bytes)))
             }
         }
     }
 
-    /// A daemon that has just started cannot tell that a service or path does not
-    /// exist: another copy of the request may run through a daemon that knows it.
-    async fn unknown(&self, reason: Reason, name: &str) -> Refused {
-        let state = self.configuration.ask(|reply| configuration::Ask::State { reply }).await;
-        match state {
-            Some(state) if state.can_judge() => {
-                refused(reason, format!("nothing is known of {name}"))
-            }
-            _ => refused(Reason::NotReady, "this daemon has no configuration yet"),
-        }
-    }
-
     /// Refuses what is sent nowhere.
     async fn check(&self, call: &Call) -> Option<Answer> {
         let not_run = |reason| Answer::refusal(Outcome::NotRun, reason, self.node);
@@ -368,6 +350,19 @@
     }
 }
 
+/// What was found of `name`. A daemon that has just started cannot tell that a service
+/// or path does not exist: another copy of the request may run through a daemon that
+/// knows it.
+fn known<T>(found: Option<Lookup<T>>, reason: Reason, name: &str) -> Result<T, Refused> {
+    match found {
+        Some(Lookup::Found(found)) => Ok(found),
+        Some(Lookup::Unknown) => Err(refused(reason, format!("nothing is known of {name}"))),
+        Some(Lookup::NotReady) | None => {
+            Err(refused(Reason::NotReady, "this daemon has no configuration yet"))
+        }
+    }
+}
+
 /// A caller that waits for its answer; that it has gone is noted.
 struct Caller<'a> {
     entry: &'a Entry,
