Membership, configuration: few daemons write a row and follow the table

Change: a daemon looks for others first; the three that started first in each data centre write a row, and read the table after that; the first two of each follow the configuration, so that a data centre that is cut off has its own.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -39,11 +39,14 @@
 
 /// Time for which a feed of the table of paths waits for a change.
 const FEED_WAIT: Duration = Duration::from_secs(20);
-/// Daemons that follow the feed: this part of the fleet, within these bounds. Each
-/// call to the store is paid for; the others hear of changes from these.
-const FOLLOWING_PART: usize = 6;
-const FOLLOWING_MIN: usize = 6;
-const FOLLOWING_MAX: usize = 64;
+/// Daemons of a data centre that follow the feed: those that started first. Each call to
+/// the store is paid for; the others hear of changes from these. One stays when the store
+/// turns the other away, and a data centre that is cut off from the others has its own.
+const FOLLOWING: usize = 2;
+/// Time in which a daemon that starts meets others, after which it is known who follows.
+const MEETING_TIME: Duration = Duration::from_secs(1);
+/// Time after which a daemon that has got no configuration from others reads the store.
+const UNREADY_LIMIT: Duration = Duration::from_secs(5);
 /// Time without a word from another daemon after which one follows by itself.
 const QUIET_LIMIT: Duration = Duration::from_secs(2);
 /// Time between two looks whether to follow.
@@ -123,7 +126,13 @@
 }
 
 /// Starts the service.
-pub(crate) fn start(kernel: &Kernel, edge: Edge, first_peers: &[SocketAddr]) {
+/// `join_within` is the longest time until this daemon looks for others.
+pub(crate) fn start(
+    kernel: &Kernel,
+    edge: Edge,
+    first_peers: &[SocketAddr],
+    join_within: Duration,
+) {
     let inbox = kernel.register(names::CONFIGURATION);
     let mailbox: Mailbox<Ask> = kernel.service(names::CONFIGURATION);
     let task = Task {
@@ -139,7 +148,9 @@
     kernel.start(task.run(inbox));
     let first_peers = first_peers.iter().map(|peer| peer.to_string().into()).collect();
     match edge.read_table {
-        Some(_) => kernel.start(follow_table(kernel.clone(), mailbox, edge.table_row)),
+        Some(_) => {
+            kernel.start(follow_table(kernel.clone(), mailbox, edge.table_row, join_within));
+        }
         None => kernel.start(follow(kernel.clone(), mailbox, first_peers)),
     }
 }
@@ -316,14 +327,25 @@
 
 /// Reads the table of paths and follows its changes. Other daemons tell of a new
 /// revision, too, when the store does not.
-async fn follow_table(kernel: Kernel, mailbox: Mailbox<Ask>, row: &str) {
+///
+/// Where daemons start again they all read the table at once; where a fleet starts for the
+/// first time, and takes its time to join, only those do that follow it then.
+async fn follow_table(kernel: Kernel, mailbox: Mailbox<Ask>, row: &str, join_within: Duration) {
     let table = row.split('/').next().unwrap_or(row);
+    let started = kernel.clock().now();
     let mut known = None;
+    let mut is_awaited = join_within.is_zero();
+    if !is_awaited {
+        kernel.clock().sleep(join_within + MEETING_TIME).await;
+    }
     loop {
-        if known.is_some() && !follows(&kernel).await {
+        let is_late = known.is_none() && kernel.clock().now() - started > UNREADY_LIMIT;
+        if !is_awaited && !(is_late && !is_ready(&mailbox).await) && !follows(&kernel).await {
             kernel.clock().sleep(FOLLOW_LOOK_EVERY).await;
             continue;
         }
+        is_awaited = false;
+        let is_first = known.is_none();
         match read_feed(&kernel, table, known).await {
             Ok(rows) => {
                 known = Some(rows.version);
@@ -331,6 +353,9 @@
                     mailbox.send(Ask::Table { text: row.value });
                 }
                 mailbox.send(Ask::Confirmed);
+                if is_first {
+                    kernel.clock().sleep(MEETING_TIME).await;
+                }
             }
             // The whole table is read again.
             Err(Failure::Compacted) => {
@@ -339,21 +364,23 @@
             }
             Err(failure) => {
                 log::debug!("the feed of {table} has failed: {failure}");
+                is_awaited = is_first && join_within.is_zero();
                 kernel.clock().sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             }
         }
     }
 }
 
-/// Whether this daemon is among those that follow the feed: the earliest started
-/// ones, or any that hears of no other.
+async fn is_ready(mailbox: &Mailbox<Ask>) -> bool {
+    mailbox.ask(|reply| Ask::State { reply }).await.is_some_and(|state| state.can_judge())
+}
+
+/// Whether this daemon is among those that follow the feed: the earliest started ones
+/// of its data centre, or any that hears of no other.
 async fn follows(kernel: &Kernel) -> bool {
     let membership: Mailbox<membership::Ask> = kernel.service(names::MEMBERSHIP);
     let place = membership.ask(|reply| membership::Ask::Place { reply }).await;
-    place.is_none_or(|place| {
-        let following = (place.present / FOLLOWING_PART).clamp(FOLLOWING_MIN, FOLLOWING_MAX);
-        place.earlier < following || place.quiet_for > QUIET_LIMIT
-    })
+    place.is_none_or(|place| place.earlier < FOLLOWING || place.quiet_for > QUIET_LIMIT)
 }
 
 /// The whole table, or its changes after a version that is known.
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -33,9 +33,14 @@
 const MAX_SYNC_PAGES: usize = 64;
 /// Time limit of comparing lists with a member.
 const SYNC_TIME: Duration = Duration::from_secs(5);
-/// Rows in the table by which new daemons find a first member, for each data
-/// centre, and writes of them that the whole fleet makes in a second.
+/// Rows in the table by which new daemons find a first member, for each data centre, and
+/// the daemons there that write theirs: those that started first. Each call to the store
+/// is paid for, and a new daemon needs only one that is there.
 const TABLE_ROWS: u64 = 16;
+const CONTACTS: usize = 3;
+/// Rows of the table that a daemon which knows no other tries at a time.
+const FIRST_CONTACTS: usize = 8;
+/// Writes of rows that the whole fleet makes in a second.
 /// Each call to the store is paid for, so that a fleet renews one row a minute.
 const FLEET_ANNOUNCEMENTS_PER_SECOND: f64 = 1.0 / 60.0;
 const ANNOUNCE_MIN: Duration = Duration::from_secs(60);
@@ -84,10 +89,8 @@
 /// Where a node stands among the members.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Place {
-    /// Present members that started earlier.
+    /// Present members of its data centre that started earlier.
     pub(crate) earlier: usize,
-    /// Present members, this node included.
-    pub(crate) present: usize,
     /// Time since another member was last heard.
     pub(crate) quiet_for: Duration,
 }
@@ -105,6 +108,7 @@
     socket: std::net::UdpSocket,
     own: Member,
     first_peers: Vec<SocketAddr>,
+    join_within: Duration,
     seed: u64,
 ) -> std::io::Result<()> {
     socket.set_nonblocking(true)?;
@@ -125,7 +129,7 @@
     };
     kernel.start(task.run(inbox));
     let mailbox = kernel.service(names::MEMBERSHIP);
-    kernel.start(join(kernel.clone(), mailbox, first_peers));
+    kernel.start(join(kernel.clone(), mailbox, first_peers, join_within));
     Ok(())
 }
 
@@ -190,7 +194,6 @@
             Ask::All { reply } => drop(reply.send(self.members.all().cloned().collect())),
             Ask::Place { reply } => drop(reply.send(Place {
                 earlier: self.members.count_earlier(),
-                present: self.members.count_present(),
                 quiet_for: self.heard_at.map_or(Duration::MAX, |at| now - at),
             })),
             Ask::Own { reply } => drop(reply.send(self.members.own().clone())),
@@ -403,43 +406,82 @@
     membership.ask(|reply| Ask::Digests { reply }).await.unwrap_or_default()
 }
 
-/// Keeps this node's row in the table, and finds first members by the settings
-/// or the table. The row is written before the table is read, so that of two
-/// daemons that start at once one finds the other.
-async fn join(kernel: Kernel, membership: Mailbox<Ask>, first_peers: Vec<SocketAddr>) {
+/// Finds first members by the settings or the table, and keeps this node's row there if
+/// it is among those that started first. A daemon that writes its row reads the table
+/// after that, so that of two that start at once one finds the other.
+async fn join(
+    kernel: Kernel,
+    membership: Mailbox<Ask>,
+    first_peers: Vec<SocketAddr>,
+    join_within: Duration,
+) {
+    let first_peers: Vec<Box<str>> =
+        first_peers.iter().map(|address| address.to_string().into()).collect();
+    kernel.clock().sleep(join_within.mul_f64(fastrand::f64())).await;
     let mut pause = JOIN_PAUSE_MIN;
-    let mut is_announced = announce(&kernel, &membership).await;
+    let mut is_announced = false;
     loop {
-        let count = membership.ask(|reply| Ask::Count { reply }).await.unwrap_or(1);
-        if count <= 1 {
-            let mut addresses: Vec<Box<str>> =
-                first_peers.iter().map(|address| address.to_string().into()).collect();
-            addresses.extend(read_table(&kernel).await);
-            let syncs = addresses.into_iter().map(|address| sync(kernel.clone(), address));
-            futures::future::join_all(syncs).await;
+        if count(&membership).await <= 1 {
+            let found = read_table(&kernel, &membership).await;
+            meet(&kernel, first_peers.iter().chain(&found)).await;
+        }
+        let place = membership.ask(|reply| Ask::Place { reply }).await;
+        let is_contact = place.is_none_or(|place| place.earlier < CONTACTS);
+        let mut has_written = false;
+        if is_contact && !is_announced {
+            is_announced = announce(&kernel, &membership).await;
+            has_written = is_announced;
         }
-        let wait = match (count <= 1, is_announced) {
-            (true, _) | (_, false) => {
+        if has_written {
+            meet(&kernel, &read_table(&kernel, &membership).await).await;
+        }
+        let count = count(&membership).await;
+        let wait = match (count <= 1, is_contact && !is_announced) {
+            (false, false) => {
+                let every = Duration::from_secs_f64(count as f64 / FLEET_ANNOUNCEMENTS_PER_SECOND);
+                // Who has become a contact meanwhile writes its row before long.
+                let every = every.max(ANNOUNCE_MIN);
+                if is_contact { every } else { ANNOUNCE_MIN }
+            }
+            _ => {
                 pause = (pause * 2).min(JOIN_PAUSE_MAX);
                 pause
             }
-            (false, true) => {
-                let every = Duration::from_secs_f64(count as f64 / FLEET_ANNOUNCEMENTS_PER_SECOND);
-                every.max(ANNOUNCE_MIN)
-            }
         };
         kernel.clock().sleep(wait.mul_f64(0.5 + fastrand::f64())).await;
-        if count > 1 || !is_announced {
-            is_announced = announce(&kernel, &membership).await;
-        }
+        // A row may have been overwritten by another daemon's, or outlive its place.
+        is_announced &= !is_contact || count <= 1;
     }
 }
 
-async fn read_table(kernel: &Kernel) -> Vec<Box<str>> {
+async fn count(membership: &Mailbox<Ask>) -> usize {
+    membership.ask(|reply| Ask::Count { reply }).await.unwrap_or(1)
+}
+
+/// Compares lists with the daemons at some of these addresses, and takes over the
+/// configuration that they have.
+async fn meet(kernel: &Kernel, addresses: impl IntoIterator<Item = &Box<str>>) {
+    let mut addresses: Vec<&Box<str>> = addresses.into_iter().collect();
+    fastrand::shuffle(&mut addresses);
+    let configuration: Mailbox<configuration::Ask> = kernel.service(names::CONFIGURATION);
+    let meetings = addresses.into_iter().take(FIRST_CONTACTS).map(async |address| {
+        sync(kernel.clone(), address.clone()).await;
+        let from = address.clone();
+        configuration.send(configuration::Ask::Heard { revision: u64::MAX, from });
+    });
+    futures::future::join_all(meetings).await;
+}
+
+/// Addresses of other daemons by their rows in the table.
+async fn read_table(kernel: &Kernel, membership: &Mailbox<Ask>) -> Vec<Box<str>> {
+    let own = membership.ask(|reply| Ask::Own { reply }).await.map(|own| own.address);
     let store: Mailbox<storage::Ask> = kernel.service(names::STORE);
     let ask = |reply| storage::Ask::Table { table: MEMBER_TABLE.into(), limit: 500, reply };
     match store.ask(ask).await {
-        Some(Ok(rows)) => rows.rows.into_iter().map(|row| row.value).collect(),
+        Some(Ok(rows)) => {
+            let addresses = rows.rows.into_iter().map(|row| row.value);
+            addresses.filter(|address| own.as_ref() != Some(address)).collect()
+        }
         Some(Err(failure)) => {
             log::info!("the table of members is not read: {failure}");
             Vec::new()
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -146,9 +146,10 @@
     };
     let own = own_member(settings, node);
     let first_peers = settings.peers.clone();
-    membership::start(kernel, socket, own, first_peers, seed).describe(|| "gossip".into())?;
+    membership::start(kernel, socket, own, first_peers, settings.join_within, seed)
+        .describe(|| "gossip".into())?;
     let guard = guard::start(kernel, node, edge, settings.target.as_ref(), discipline);
-    configuration::start(kernel, edge, &settings.peers);
+    configuration::start(kernel, edge, &settings.peers, settings.join_within);
     serve_peers(kernel, peer_listener, uplink, answering(kernel, node, guard.clone()))
         .describe(|| "daemons' port".into())?;
     admin::start(kernel, pages, node, metrics).describe(|| "admin pages".into())?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -28,6 +28,9 @@
     pub platform: Option<SocketAddr>,
     /// First peers to ask for members and configuration.
     pub peers: Vec<SocketAddr>,
+    /// Longest random wait before others are looked for in the table of members: where a
+    /// whole fleet starts for the first time, the later ones then find the earlier.
+    pub join_within: Duration,
     /// How targets are chosen.
     pub policy: Policy,
     /// Seed of random choices; 0 takes one from the system.
@@ -118,7 +121,7 @@
     Setting { flag, unit, default, help }
 }
 
-const SETTINGS: [Setting; 22] = [
+const SETTINGS: [Setting; 23] = [
     setting("listen", "IP:PORT", "127.0.0.1:8000", "address for callers"),
     setting("peer-listen", "IP:PORT", "127.0.0.1:8100", "address for other daemons, TCP and UDP"),
     setting(
@@ -135,6 +138,12 @@
     setting("connections", "connections", "220", "connections that the target takes, 1 to 65535"),
     setting("platform", "IP:PORT", "", "address of the table service and object store"),
     setting("peers", "IP:PORT,...", "", "daemons to ask first for members and configuration"),
+    setting(
+        "join-within",
+        "seconds",
+        "0",
+        "longest random wait before others are looked for in the table, 0 to 60",
+    ),
     setting(
         "policy",
         "name",
@@ -363,6 +372,7 @@
         let target = raw.target();
         let platform = raw.parse("platform", scan_address);
         let peers = raw.parse("peers", scan_addresses);
+        let join_within = raw.seconds("join-within", 60.0);
         let policy = raw.require("policy", |text| Policy::try_from(text));
         let seed = raw.number("seed", 0, u64::MAX);
         let stop_within = raw.seconds("stop-within", 3600.0);
@@ -384,6 +394,7 @@
                 target,
                 platform,
                 peers: peers.unwrap_or_default(),
+                join_within: join_within?,
                 policy: policy?,
                 seed: seed?,
                 stop_within: stop_within?,
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -59,10 +59,11 @@
         present.count() + 1
     }
 
-    /// Number of present members that started before this node.
+    /// Number of present members in this node's data centre that started before it.
     pub fn count_earlier(&self) -> usize {
-        let present = self.peers.values().filter(|peer| peer.member.state.is_present());
-        present.filter(|peer| peer.member.node < self.own.node).count()
+        let members = self.peers.values().map(|peer| &peer.member);
+        let near = members.filter(|member| member.data_centre == self.own.data_centre);
+        near.filter(|member| member.state.is_present() && member.node < self.own.node).count()
     }
 
     /// All known members, this node included.
--- a/crates/member/tests/members.rs
+++ b/crates/member/tests/members.rs
@@ -329,3 +329,11 @@
     assert_eq!(new.serving("desk").count(), 6);
     assert_eq!(new.receive(soon, contact), [], "the next comparison is due in a second");
 }
+/// Pattern: a fleet of four data centres and few of each that speak with the store. Who
+/// does is known to each member from its own list.
+#[test]
+fn members_count_those_of_their_data_centre_that_started_earlier() {
+    let network = Network::new(12, 3);
+    let earlier: Vec<usize> = network.lists.values().map(Members::count_earlier).collect();
+    assert_eq!(earlier, [0, 1, 2, 3, 0, 1, 2, 3, 4, 5, 6, 7]);
+}
