--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -179,7 +179,7 @@
         let first = seen.lines().next().unwrap_or_default();
         assert!(first.contains(status), "{first} instead of {status}");
     }
-    // A length beside chunks: the chunks count, and what follows is no request.
+    // A length beside chunks is refused, and what follows is no request.
     let both = format!(
         "{head}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n\
          POST /order/smuggled HTTP/1.1\r\nhost: soak.example\r\n\r\n"
