Guard: a run ends a moment after its request's deadline

Cause: found by a test of answers without end. A request that may not be repeated and has begun at its target is not given up when its caller goes, and nothing else bounded its run: an answer that drips, a body without end or a target that hangs held the slot for ever.

Change: a run is given up 100 ms after the deadline, at which targets stop by themselves; 10 s after it where the outcome is kept for the caller's next copy.

--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -26,6 +26,12 @@
 /// When to come back to a target that is down.
 pub(super) const DOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time beyond a request's deadline after which its run is given up: targets stop at the
+/// deadline, and one that still sends, or nothing at all, would hold its slot for ever.
+const RUN_GRACE: Duration = Duration::from_millis(100);
+/// The same for a request whose outcome is kept for its caller's next copy.
+const CLAIMED_RUN_GRACE: Duration = Duration::from_secs(10);
+
 /// The guard's task and what it owns.
 pub(super) struct Task {
     pub(super) kernel: Kernel,
@@ -257,10 +263,17 @@
         job.instance = target.identity().instance.clone();
         let (request, deadline) = (job.request.clone(), job.deadline);
         let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
+        let grace = match job.is_for_claim() {
+            true => CLAIMED_RUN_GRACE,
+            false => RUN_GRACE,
+        };
         job._work = Some(self.kernel.spawn(async move {
             let started = clock.now();
             let run = match deadline.checked_duration_since(started) {
-                Some(remaining) => target.run(&request, remaining).await,
+                Some(remaining) => {
+                    let running = target.run(&request, remaining);
+                    clock.timeout(remaining + grace, running).await.unwrap_or(Run::Cut)
+                }
                 None => Run::Overdue,
             };
             let service = clock.now() - started;
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -239,6 +239,11 @@
         self.hosts[host].daemon.as_mut().is_none_or(Process::has_ended)
     }
 
+    /// Number of the process of a host's daemon, if there is one.
+    pub fn daemon_id(&self, host: usize) -> Option<u32> {
+        self.hosts[host].daemon.as_ref().map(Process::id)
+    }
+
     /// Lines that a host's daemon has written since the last call.
     pub fn daemon_lines(&self, host: usize) -> Vec<Box<str>> {
         self.hosts[host].daemon.as_ref().map(Process::lines).unwrap_or_default()
