--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -340,7 +340,8 @@
     }
     loop {
         let is_late = known.is_none() && kernel.clock().now() - started > UNREADY_LIMIT;
-        if !is_awaited && !(is_late && !is_ready(&mailbox).await) && !follows(&kernel).await {
+        let reads = is_awaited || follows(&kernel).await || (is_late && !is_ready(&mailbox).await);
+        if !reads {
             kernel.clock().sleep(FOLLOW_LOOK_EVERY).await;
             continue;
         }
