--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -153,7 +153,7 @@
                 self.since = clock.now();
                 if wrote.is_ok() { Next::Go } else { Next::Drop }
             }
-            (asked, answer) = self.line.next(), if is_written && !self.line.is_empty() => {
+            (asked, answer) = self.line.next(clock), if is_written && !self.line.is_empty() => {
                 self.answer(asked, answer);
                 Next::Go
             }
--- a/crates/web/src/line.rs
+++ b/crates/web/src/line.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use kernel::Task;
+use kernel::{Clock, Kernel, Task};
 use tokio::sync::Notify;
 
 use crate::answer::Asked;
@@ -56,7 +56,8 @@
 
 #[derive(Debug)]
 enum Work {
-    Running(Task<Response<Bytes>>),
+    /// The answer, and when it was there.
+    Running(Task<(Response<Bytes>, Instant)>),
     Done(Option<Response<Bytes>>),
 }
 
@@ -111,14 +112,14 @@
     pub(crate) fn push(
         &mut self,
         asked: Asked,
-        kernel: &kernel::Kernel,
+        kernel: &Kernel,
         answer: Pin<Box<dyn Future<Output = Response<Bytes>>>>,
     ) {
-        let state = self.state.clone();
+        let (state, clock) = (self.state.clone(), *kernel.clock());
         let work = Work::Running(kernel.spawn(async move {
             let answer = answer.await;
             state.hold(answer.body().len());
-            answer
+            (answer, clock.now())
         }));
         self.pending.push_back(Pending { asked, work });
     }
@@ -131,16 +132,20 @@
     }
 
     /// Waits for the answer that is due next.
-    pub(crate) async fn next(&mut self) -> (Asked, Response<Bytes>) {
+    pub(crate) async fn next(&mut self, clock: Clock) -> (Asked, Response<Bytes>) {
         let Some(first) = self.pending.front_mut() else {
             return std::future::pending().await;
         };
         let asked = first.asked;
         let answer = poll_fn(|context| match &mut first.work {
             Work::Running(task) => Pin::new(task).poll(context),
-            Work::Done(answer) => answer.take().map_or(Poll::Pending, Poll::Ready),
+            Work::Done(answer) => {
+                answer.take().map_or(Poll::Pending, |answer| Poll::Ready((answer, clock.now())))
+            }
         });
-        let answer = answer.await;
+        let (answer, ready) = answer.await;
+        metrics::histogram!("bronzeport_answer_held_seconds")
+            .record((clock.now() - ready).as_secs_f64());
         self.pending.pop_front();
         self.state.held_bytes.set(self.state.held_bytes.get() - answer.body().len());
         (asked, answer)
