--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -43,7 +43,9 @@
 /// Writes of rows that the whole fleet makes in a second.
 /// Each call to the store is paid for, so that a fleet renews one row a minute.
 const FLEET_ANNOUNCEMENTS_PER_SECOND: f64 = 1.0 / 60.0;
-const ANNOUNCE_MIN: Duration = Duration::from_secs(60);
+/// Time between two looks of a daemon that knows others whether its row is to be written:
+/// those that started before it may have gone.
+const ROW_LOOK_EVERY: Duration = Duration::from_secs(60);
 /// First and longest pause before the table is read again by a daemon that knows
 /// no other.
 const JOIN_PAUSE_MIN: Duration = Duration::from_millis(500);
@@ -418,42 +420,37 @@
     let first_peers: Vec<Box<str>> =
         first_peers.iter().map(|address| address.to_string().into()).collect();
     kernel.clock().sleep(join_within.mul_f64(fastrand::f64())).await;
-    let mut pause = JOIN_PAUSE_MIN;
-    let mut is_announced = false;
+    let (mut pause, mut written) = (JOIN_PAUSE_MIN, None);
     loop {
         if count(&membership).await <= 1 {
             let found = read_table(&kernel, &membership).await;
             meet(&kernel, first_peers.iter().chain(&found)).await;
         }
-        let place = membership.ask(|reply| Ask::Place { reply }).await;
-        let is_contact = place.is_none_or(|place| place.earlier < CONTACTS);
-        let mut has_written = false;
-        if is_contact && !is_announced {
-            is_announced = announce(&kernel, &membership).await;
-            has_written = is_announced;
-        }
-        if has_written {
+        let (count, now) = (count(&membership).await, kernel.clock().now());
+        // Another daemon may have written its row in the same place.
+        let is_old = |at| count > 1 && now - at > renew_after(count);
+        let needs_row = written.is_none_or(is_old) && is_contact(&membership).await;
+        if needs_row && announce(&kernel, &membership).await {
+            written = Some(now);
             meet(&kernel, &read_table(&kernel, &membership).await).await;
         }
-        let count = count(&membership).await;
-        let wait = match (count <= 1, is_contact && !is_announced) {
-            (false, false) => {
-                let every = Duration::from_secs_f64(count as f64 / FLEET_ANNOUNCEMENTS_PER_SECOND);
-                // Who has become a contact meanwhile writes its row before long.
-                let every = every.max(ANNOUNCE_MIN);
-                if is_contact { every } else { ANNOUNCE_MIN }
-            }
-            _ => {
-                pause = (pause * 2).min(JOIN_PAUSE_MAX);
-                pause
-            }
-        };
-        kernel.clock().sleep(wait.mul_f64(0.5 + fastrand::f64())).await;
-        // A row may have been overwritten by another daemon's, or outlive its place.
-        is_announced &= !is_contact || count <= 1;
+        let is_settled = count > 1 && (written.is_some() || !needs_row);
+        pause = if is_settled { ROW_LOOK_EVERY } else { (pause * 2).min(JOIN_PAUSE_MAX) };
+        kernel.clock().sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
     }
 }
 
+/// Age at which a contact of a fleet of `count` daemons writes its row again.
+fn renew_after(count: usize) -> Duration {
+    Duration::from_secs_f64(count as f64 / FLEET_ANNOUNCEMENTS_PER_SECOND).max(ROW_LOOK_EVERY)
+}
+
+/// Whether this node is one of those by which new daemons find the others.
+async fn is_contact(membership: &Mailbox<Ask>) -> bool {
+    let place = membership.ask(|reply| Ask::Place { reply }).await;
+    place.is_none_or(|place| place.earlier < CONTACTS)
+}
+
 async fn count(membership: &Mailbox<Ask>) -> usize {
     membership.ask(|reply| Ask::Count { reply }).await.unwrap_or(1)
 }
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -240,10 +240,6 @@
             Ok(Some((head, length))) => {
                 self.buffer.advance(length);
                 let body = Body::new(head.length, body_bytes);
-                let waits = head.expects_continue && self.buffer.is_empty();
-                if waits && self.line.is_empty() && !self.writing.has_remaining() {
-                    self.writing = write_plain(GO_AHEAD);
-                }
                 self.since = self.kernel.clock().now();
                 self.reading = Reading::Body { head: Box::new(head), body };
                 true
@@ -255,10 +251,14 @@
         }
     }
 
-    fn read_body(&mut self, head: Box<Head>, mut body: Body) -> bool {
+    fn read_body(&mut self, mut head: Box<Head>, mut body: Body) -> bool {
         let came = self.kernel.clock().now();
         match body.take(&mut self.buffer) {
             Progress::Partial => {
+                let has_turn = self.line.is_empty() && !self.writing.has_remaining();
+                if has_turn && std::mem::take(&mut head.expects_continue) {
+                    self.writing = write_plain(GO_AHEAD);
+                }
                 self.reading = Reading::Body { head, body };
                 return false;
             }
--- a/crates/web/src/line.rs
+++ b/crates/web/src/line.rs
@@ -64,7 +64,7 @@
 impl Place {
     /// Requests before it that have no answer yet.
     pub fn ahead(&self) -> u64 {
-        self.number - self.state.answered.get()
+        self.number.saturating_sub(self.state.answered.get())
     }
 
     /// When it had come.
--- a/crates/web/tests/pipeline.rs
+++ b/crates/web/tests/pipeline.rs
@@ -180,3 +180,29 @@
     assert!(before < 16, "{started:?}");
     assert_eq!(started.len(), 41);
 }
+/// A caller that waits for a go-ahead gets it once the answers before it are written.
+#[test]
+fn a_go_ahead_comes_in_its_turn() {
+    let answer = with_server(
+        |kernel| timed(kernel, Rc::default()),
+        |address| {
+            let mut stream = TcpStream::connect(address).expect("the port is open");
+            let bytes = requests(&["GET /50/a"])
+                + "POST /1/b HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n";
+            stream.write_all(bytes.as_bytes()).expect("it takes bytes");
+            let mut seen = String::new();
+            let mut some = [0; 1024];
+            while !seen.contains("1/b") {
+                let length = stream.read(&mut some).expect("it goes on");
+                assert!(length > 0, "{seen}");
+                seen += &String::from_utf8_lossy(&some[..length]);
+                if seen.ends_with("100 Continue\r\n\r\n") {
+                    stream.write_all(b"xy").expect("it takes bytes");
+                }
+            }
+            seen
+        },
+    );
+    let places = ["50/a", "100 Continue", "1/b"].map(|text| answer.find(text));
+    assert!(places.is_sorted() && places[0].is_some(), "{answer}");
+}
