--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -77,7 +77,7 @@
     buffer: BytesMut,
     line: Line,
     writing: Written,
-    /// Since when nothing has happened that bounds do not count.
+    /// Start of the time in which the caller must send or take in something.
     since: Instant,
     /// Whether the connection closes behind the requests under way.
     is_closing: bool,
@@ -128,6 +128,7 @@
         }
     }
 
+    /// Waits for the first thing that happens on the connection and takes it in.
     async fn step(&mut self, stream: &mut TcpStream) -> Next {
         let is_written = !self.writing.has_remaining();
         self.counted.set(!is_written || !self.line.is_empty());
@@ -143,7 +144,7 @@
         let may_read = self.buffer.len() < self.limits.head_bytes;
         let is_blocked = matches!(self.reading, Reading::Whole { .. });
         let (mut reader, mut writer) = stream.split();
-        let starts = self.buffer.is_empty() && matches!(self.reading, Reading::Head);
+        let begins_request = self.buffer.is_empty() && matches!(self.reading, Reading::Head);
         if may_read {
             self.buffer.reserve(READ_BYTES);
         }
@@ -159,7 +160,7 @@
             }
             read = reader.read_buf(&mut self.buffer), if may_read => match read {
                 Ok(1..) => {
-                    if starts {
+                    if begins_request {
                         self.since = clock.now();
                     }
                     Next::Go
--- a/crates/web/src/line.rs
+++ b/crates/web/src/line.rs
@@ -108,7 +108,7 @@
         Place { state: self.state.clone(), number, arrived }
     }
 
-    /// Notes that a request runs.
+    /// Has a request run, behind all others.
     pub(crate) fn push(
         &mut self,
         asked: Asked,
