Entry: a refusal before a request's turn is settled like any other

Cause, found in the review: a request that may not be repeated, sent ahead on its connection and refused as late before its turn came, was told not-run without its id being refused; a copy of it ran after that. On the project's own interface only: on the platform's no request has a claim.

The test, with real daemons, got 200 for the copy; now 409 refused-before.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -150,13 +150,14 @@
         self.note(&call.id, event);
         let mut waiting = Caller { entry: self, id: Some(call.id.clone()), arrived };
         let deadline = arrived + call.deadline;
-        let answer = match self.wait_for_turn(&call, &place, deadline).await {
-            Turn::Come => match self.check(&call).await {
-                Some(answer) => self.settle_refusal(&call, None, answer).await,
-                None if call.is_claimed() => self.run_once(&call, deadline).await,
-                None => self.attempts.run(&call, deadline, "").await,
-            },
-            Turn::TooLate => Answer::refusal(Outcome::NotRun, Reason::Late, self.node),
+        let refusal = match self.wait_for_turn(&call, &place, deadline).await {
+            Turn::Come => self.check(&call).await,
+            Turn::TooLate => Some(Answer::refusal(Outcome::NotRun, Reason::Late, self.node)),
+        };
+        let answer = match refusal {
+            Some(answer) => self.settle_refusal(&call, None, answer).await,
+            None if call.is_claimed() => self.run_once(&call, deadline).await,
+            None => self.attempts.run(&call, deadline, "").await,
         };
         waiting.id = None;
         let is_late = self.clock.now() > arrived + call.treatment.aim;
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -3,7 +3,8 @@
 
 mod common;
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -185,6 +186,34 @@
     assert_eq!(runs(&mut fleet, "late"), 0);
 }
 
+/// A request that was sent ahead is refused when its time is over before its turn comes.
+/// A copy of it must not run after that.
+#[test]
+fn not_run_is_true_of_a_request_whose_turn_did_not_come() {
+    let mut fleet = slow_fleet(1, 900);
+    let entry = fleet.hosts[0].callers;
+    let head = |line: &str, headers: &str| {
+        format!("{line} HTTP/1.1\r\nhost: a\r\nbronzeport-service: desk\r\n{headers}\r\n")
+    };
+    let bytes = head("GET /read/slow", "")
+        + &head(
+            "POST /orders",
+            "idempotency-key: ahead\r\nbronzeport-deadline-ms: 300\r\ncontent-length: 3\r\n\
+             connection: close\r\n",
+        )
+        + "pay";
+    let mut stream = TcpStream::connect(entry).expect("it listens");
+    stream.write_all(bytes.as_bytes()).expect("it reads");
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).expect("whole answers");
+    assert!(answers.contains("HTTP/1.1 200 OK"), "{answers}");
+    assert!(answers.contains("HTTP/1.1 503"), "{answers}");
+    assert!(answers.contains("bronzeport-outcome: not-run"), "{answers}");
+    let copy = order(entry, "ahead");
+    assert_eq!((copy.status, &*copy.reason), (409, "refused-before"), "{copy:?}");
+    assert_eq!(runs(&mut fleet, "ahead"), 0);
+}
+
 /// A fleet of one host whose target is reached through a proxy.
 fn fleet_behind_proxy() -> (Fleet, Proxy) {
     let mut fleet =
