--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -36,7 +36,6 @@
 #[derive(Debug)]
 pub struct Serving {
     address: SocketAddr,
-    open: Rc<Cell<usize>>,
     busy: Busy,
     _stop: kernel::Mailbox<()>,
 }
@@ -83,11 +82,6 @@
         self.address
     }
 
-    /// Connections that are open.
-    pub fn connections(&self) -> usize {
-        self.open.get()
-    }
-
     /// Counts busy connections, also after this is dropped.
     pub fn busy(&self) -> Busy {
         self.busy.clone()
@@ -105,15 +99,15 @@
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
     let (stop, stopped) = kernel::mailbox();
-    let (open, busy) = (Rc::new(Cell::new(0)), Busy::default());
-    let acceptor = accept(kernel.clone(), listener, limits, handler, (open.clone(), busy.clone()));
+    let busy = Busy::default();
+    let acceptor = accept(kernel.clone(), listener, limits, handler, busy.clone());
     kernel.start(async move {
         let until_stopped = async {
             let _ = stopped.receive().await;
         };
         acceptor.or(until_stopped).await;
     });
-    Ok(Serving { address, open, busy, _stop: stop })
+    Ok(Serving { address, busy, _stop: stop })
 }
 
 async fn accept(
@@ -121,8 +115,9 @@
     listener: TcpListener,
     limits: Limits,
     handler: Handler,
-    (open, busy): (Rc<Cell<usize>>, Busy),
+    busy: Busy,
 ) {
+    let open = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             kernel.clock().sleep(ACCEPT_PAUSE).await;
