Web: whether a connection closes follows from what it reads; tests: one heartbeat

From the last read of the change, behaviour as before: Connection::is_closing was true exactly while nothing more is read as a request. The heartbeat of a target that a test plays itself stood in two test files.

--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -1,7 +1,8 @@
 //! What the tests with real processes share.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use lab::fleet::{Fleet, Plan, ServicePlan};
@@ -118,3 +119,26 @@
 pub fn json(text: &str) -> Value {
     serde_json::from_str(text).unwrap_or_default()
 }
+
+/// Announces a target of `desk` that a test plays itself to the daemon that listens at
+/// `to`: a start that is `later_ms` later than now, and so than the host's own target's.
+pub fn announce(to: SocketAddr, instance: &str, target: SocketAddr, slots: usize, later_ms: u64) {
+    let body = serde_json::json!({
+        "address": target.to_string(),
+        "born": lab::sidecar::unix_millis() + later_ms,
+        "info": { "service": "desk", "version": "v1", "zone": "zone-0", "slots": slots },
+        "status": { "state": "ready", "sequence": 1, "cold_remaining": "0ms" },
+    });
+    let body = body.to_string();
+    let head = format!(
+        "POST /api/Instances.Heartbeat/{instance} HTTP/1.1\r\nhost: a\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(to).expect("it listens");
+    stream.set_read_timeout(Some(Duration::from_secs(1))).expect("a socket option");
+    stream.write_all(format!("{head}{body}").as_bytes()).expect("it reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("a whole answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/crates/lab/tests/endless.rs
+++ b/crates/lab/tests/endless.rs
@@ -1,6 +1,8 @@
 //! Bytes that are no answer and no request, and that do not end until the other side
 //! closes.
 
+mod common;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -9,7 +11,6 @@
 
 use lab::fleet::wait_until;
 use lab::soak::host::Mesh;
-use serde_json::json;
 
 /// Host 0 answers for `desk`, host 1 for `desk-archive`.
 const HOSTS: usize = 2;
@@ -106,26 +107,6 @@
     }
 }
 
-fn announce(mesh: &Mesh, address: SocketAddr) {
-    let body = json!({
-        "address": address.to_string(),
-        "born": lab::sidecar::unix_millis() + 60_000,
-        "info": { "service": "desk", "version": "v1", "zone": "zone-0", "slots": SLOTS },
-        "status": { "state": "ready", "sequence": 1, "cold_remaining": "0ms" },
-    });
-    let body = body.to_string();
-    let head = format!(
-        "POST /api/Instances.Heartbeat/i-endless HTTP/1.1\r\nhost: a\r\n\
-         connection: close\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
-    let mut stream = TcpStream::connect(mesh.announce(0)).expect("it listens");
-    stream.write_all(format!("{head}{body}").as_bytes()).expect("it reads");
-    let mut answer = String::new();
-    let _ = stream.read_to_string(&mut answer);
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-}
-
 /// Most memory that a host's daemon has had.
 fn peak_memory_kb(mesh: &Mesh, host: usize) -> u64 {
     let process = mesh.daemon_id(host).expect("it runs");
@@ -144,7 +125,7 @@
     let under_way = Arc::new(AtomicUsize::new(0));
     let counted = under_way.clone();
     std::thread::spawn(move || play_target(listener, counted));
-    announce(&mesh, address);
+    common::announce(mesh.announce(0), "i-endless", address, SLOTS, 60_000);
     let entry = mesh.callers(0);
     let is_served = || call(entry, "POST", "/order/first", 1000) == "200";
     wait_until(LIMIT, is_served).expect("the new target is served");
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -1,5 +1,7 @@
 //! The whole path on the platform's interface, with real processes.
 
+mod common;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
@@ -508,20 +510,7 @@
     let (tell, go_on) = std::sync::mpsc::channel();
     std::thread::spawn(move || play_target(listener, go_on));
     let announce = |instance: &str, later_ms: u64| {
-        let body = json!({
-            "address": address.to_string(),
-            "born": lab::sidecar::unix_millis() + later_ms,
-            "info": { "service": "desk", "version": "v1", "zone": "zone-0", "slots": 8 },
-            "status": { "state": "ready", "sequence": 1, "cold_remaining": "0ms" },
-        });
-        let body = body.to_string();
-        let head = format!(
-            "POST /api/Instances.Heartbeat/{instance} HTTP/1.1\r\nhost: a\r\n\
-             connection: close\r\ncontent-length: {}\r\n\r\n",
-            body.len()
-        );
-        let answer = raw(mesh.announce(0), format!("{head}{body}").as_bytes());
-        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        common::announce(mesh.announce(0), instance, address, 8, later_ms);
     };
     announce("i-earlier", 60_000);
     let entry = mesh.callers(0);
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -64,7 +64,7 @@
         body: Result<Bytes, BodyError>,
         came: Instant,
     },
-    /// Nothing that comes is a request.
+    /// Nothing that comes is a request: the connection closes behind those under way.
     Over,
 }
 
@@ -79,8 +79,6 @@
     writing: Written,
     /// Start of the time in which the caller must send or take in something.
     since: Instant,
-    /// Whether the connection closes behind the requests under way.
-    is_closing: bool,
     counted: Counted,
 }
 
@@ -105,7 +103,6 @@
         line: Line::default(),
         writing: write_plain(b""),
         since,
-        is_closing: false,
         counted,
     };
     connection.run(stream).await;
@@ -281,7 +278,6 @@
 
     fn start(&mut self, head: Head, body: Result<Bytes, BodyError>, came: Instant) {
         let asked = Asked::of(&head.parts);
-        self.is_closing = head.is_last;
         self.reading = if head.is_last { Reading::Over } else { Reading::Head };
         let place = self.line.next_place(came);
         let answer = (self.handler)(Arrival { head: head.parts, body, place });
@@ -292,7 +288,7 @@
     fn refuse(&mut self, status: StatusCode) {
         let mut answer = Response::new(Bytes::new());
         *answer.status_mut() = status;
-        self.is_closing = true;
+        self.reading = Reading::Over;
         self.line.push_answer(Asked { is_head: false, is_old: false }, answer);
     }
 
@@ -301,10 +297,9 @@
     fn answer(&mut self, asked: Asked, answer: Response<Bytes>) {
         let closes = answer.headers().get(CONNECTION).is_some_and(|value| value == "close");
         if closes {
-            self.is_closing = true;
             self.reading = Reading::Over;
         }
-        let is_last = self.is_closing && self.line.is_empty();
+        let is_last = matches!(self.reading, Reading::Over) && self.line.is_empty();
         self.writing = write_answer(answer, asked, is_last);
         self.since = self.kernel.clock().now();
     }
