Guard: what a target states about its rate, in log lines, metrics and events

A guard logs when the accepted rate changes, and when its target gets more in 4 s, with the entries that sent it; bronzeport_target_rate_limit, bronzeport_guard_started_total, bronzeport_rate_excess_total; rate_limit in guard events.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -29,6 +29,7 @@
 mod limit;
 mod pace;
 mod queue;
+pub mod rate;
 mod registration;
 
 pub use admission::{
@@ -41,3 +42,6 @@
 
 /// Identifies a request within one guard.
 pub type Ticket = u64;
+
+/// Identifies the daemon at which a request entered.
+pub type EntryId = u64;
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request as HttpRequest, Response};
 use store::StoreProtocol;
 
-pub use admit::{Announcement, Notice};
+pub use admit::{Announcement, Notice, rate};
 pub use wire::{Answer, Header, Outcome, Reason, Request};
 
 use crate::callers;
@@ -140,6 +140,10 @@
     pub retry_after: Option<Duration>,
     /// Load of the target, if it reports one.
     pub report: Option<LoadReport>,
+    /// The request rate that the target accepts.
+    pub rate: rate::Statement,
+    /// Whether the target states that it is leaving.
+    pub is_leaving: bool,
     /// Instance id of the process that answered, if it gives one.
     pub instance: Option<Box<str>>,
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -11,7 +11,7 @@
 
 use crate::adapter::{
     Destination, ExecutionStatus, FinalAnswer, Refused, RequestHead, TargetAnswer, TargetIdentity,
-    append_headers, end_to_end_headers,
+    append_headers, end_to_end_headers, rate,
 };
 use crate::call::refused;
 use crate::{headers, journal};
@@ -164,6 +164,8 @@
         },
         retry_after: seconds.map(Duration::from_secs),
         report: None,
+        rate: rate::Statement::Unlimited,
+        is_leaving: false,
         instance: None,
         headers: target_headers,
         body: response.into_body(),
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -6,6 +6,7 @@
 
 mod duplicates;
 mod job;
+mod rate_limit;
 mod target_state;
 mod task;
 
@@ -26,6 +27,7 @@
 use crate::claims::{ClaimResult, Claims};
 use crate::target::{HealthCheckResult, RunResult, Target};
 use crate::{names, settings};
+use rate_limit::RateObserver;
 use task::Task;
 
 /// Maximum size, in bytes, of the answers kept for duplicates of claimed requests.
@@ -189,6 +191,7 @@
         waiting_duplicates: HashMap::new(),
         crash_tickets: HashSet::new(),
         last_health_check: None,
+        rate_observer: RateObserver::default(),
     };
     task.limit_connections();
     kernel.start(task.run(inbox));
--- /dev/null
+++ b/crates/daemon/src/guard/rate_limit.rs
@@ -0,0 +1,82 @@
+//! The request rate that the target accepts, and the rate at which it gets requests.
+
+use std::time::Instant;
+
+use admit::rate;
+use route::Node;
+
+use super::task::Task;
+
+/// Maximum number of entries named in a log line.
+const MAX_LOGGED_ENTRIES: usize = 8;
+
+/// The rate that the target accepts, compared with what it gets.
+#[derive(Debug, Default)]
+pub(super) struct RateObserver {
+    pub(super) limit: Option<rate::Limit>,
+    meter: rate::Meter,
+    /// When an excess was last logged.
+    excess_logged_at: Option<Instant>,
+}
+
+impl Task {
+    /// Applies what an answer of the target states about the rate that it accepts.
+    pub(super) fn observe_rate(&mut self, stated: rate::Statement) {
+        let limit = match stated {
+            rate::Statement::Unlimited => None,
+            rate::Statement::Limited(limit) => Some(limit),
+            rate::Statement::Unreadable => {
+                metrics::counter!("bronzeport_unreadable_rate_limits_total").increment(1);
+                return;
+            }
+        };
+        if limit == self.rate_observer.limit {
+            return;
+        }
+        // Requests sent under the earlier limit are not compared with the new one.
+        self.rate_observer = RateObserver { limit, ..RateObserver::default() };
+        match limit {
+            Some(limit) => log::info!(
+                target: "daemon::guard::belief",
+                "the target accepts {} requests a second",
+                limit.per_second()
+            ),
+            None => log::info!(
+                target: "daemon::guard::belief",
+                "the target accepts any number of requests"
+            ),
+        }
+    }
+
+    /// Records a request of `entry` that is sent to the target, and logs if the target gets
+    /// more requests than it accepts.
+    pub(super) fn record_start(&mut self, now: Instant, entry: Node) {
+        metrics::counter!("bronzeport_guard_started_total").increment(1);
+        let observer = &mut self.rate_observer;
+        observer.meter.record(now, entry);
+        let Some(limit) = observer.limit else {
+            return;
+        };
+        let count = observer.meter.count(now);
+        let was_logged = observer
+            .excess_logged_at
+            .is_some_and(|at| now.saturating_duration_since(at) < rate::WINDOW);
+        if count as f64 <= limit.per_window() || was_logged {
+            return;
+        }
+        observer.excess_logged_at = Some(now);
+        metrics::counter!("bronzeport_rate_excess_total").increment(1);
+        let by_entry = observer.meter.by_entry();
+        let entries = by_entry.iter().take(MAX_LOGGED_ENTRIES);
+        let entries: Vec<String> =
+            entries.map(|(entry, count)| format!("{entry:016x}: {count}")).collect();
+        log::warn!(
+            target: "daemon::guard::belief",
+            "the target got {count} requests in {:?} and accepts {}; {} entries sent them, {}",
+            rate::WINDOW,
+            limit.per_window(),
+            by_entry.len(),
+            entries.join(", ")
+        );
+    }
+}
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -5,13 +5,14 @@
 
 use std::time::{Duration, Instant};
 
-use admit::{Announcement, Notice, NoticeEffect, Registration, Ticket, WARM_UP_STEP};
+use admit::{Announcement, Notice, NoticeEffect, Registration, Ticket, WARM_UP_STEP, rate};
 use config::TargetSettings;
 use kernel::Mailbox;
 use route::{Load, default_nominal_time, pace_factor};
 use wire::{Reason, Request};
 
 use super::job::{Job, Stage};
+use super::rate_limit::RateObserver;
 use super::task::Task;
 use super::{DOWN_CHECK_INTERVAL, DueHealthCheck, MAX_REPORT_AGE, Message, PaceReport};
 use crate::adapter::{TargetAnswer, TargetIdentity};
@@ -80,6 +81,7 @@
             report_age_ms: self
                 .pace_report
                 .map_or(0, |report| (self.now() - report.at).as_millis() as u64),
+            rate_limit: self.rate_observer.limit.map(rate::Limit::per_second),
         }
     }
 
@@ -168,6 +170,8 @@
         metrics::gauge!("bronzeport_guard_waiting").set(f64::from(load.queued));
         metrics::gauge!("bronzeport_guard_slots").set(f64::from(load.slots));
         metrics::gauge!("bronzeport_target_pace_percent").set(f64::from(load.pace));
+        let limit = self.rate_observer.limit.map_or(f64::INFINITY, rate::Limit::per_second);
+        metrics::gauge!("bronzeport_target_rate_limit").set(limit);
         let health_path = self.find_target_settings().map(|settings| settings.health_path.clone());
         let interval = match (self.is_reachable, &health_path) {
             (true, None) => CONNECT_CHECK_INTERVAL,
@@ -206,6 +210,10 @@
     /// only source of information.
     pub(super) fn apply_health_page(&mut self, answer: TargetAnswer) {
         let now = self.now();
+        let is_own = |instance: &str| self.is_current_process(instance);
+        if answer.instance.as_deref().is_none_or(is_own) {
+            self.observe_rate(answer.rate);
+        }
         self.observe_report(now, &answer);
         let (Some(registration), Some(target)) = (&mut self.registration, &self.target) else {
             return;
@@ -261,6 +269,7 @@
         let identity = TargetIdentity { instance: current.instance, address: current.address };
         self.target = Some(Target::new(&self.kernel, self.adapter, identity, current.slots));
         self.pace_report = None;
+        self.rate_observer = RateObserver::default();
         self.controller.reset(current.slots, !current.cold_remaining.is_zero());
         *self.service.borrow_mut() = current.service.clone();
         self.limit_connections();
@@ -284,7 +293,7 @@
 
     /// Whether `instance` is the target process that is served. A result of an earlier
     /// process says nothing about the current one.
-    fn is_current_process(&self, instance: &str) -> bool {
+    pub(super) fn is_current_process(&self, instance: &str) -> bool {
         self.target.as_ref().is_some_and(|target| *target.identity().instance == *instance)
     }
 
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -17,6 +17,7 @@
 use wire::{Answer, Outcome, Reason, Request};
 
 use super::job::{Job, Stage};
+use super::rate_limit::RateObserver;
 use super::{Message, PaceReport, Status};
 use crate::adapter::{ExecutionStatus, ProtocolAdapter, TargetAnswer};
 use crate::claims::Claims;
@@ -73,6 +74,7 @@
     /// Their failures belong to that crash.
     pub(super) crash_tickets: HashSet<Ticket>,
     pub(super) last_health_check: Option<Instant>,
+    pub(super) rate_observer: RateObserver,
 }
 
 impl Task {
@@ -280,6 +282,7 @@
         job.in_flight_at_start = self.controller.in_flight();
         job.instance = target.identity().instance.clone();
         let (request, deadline) = (job.request.clone(), job.deadline);
+        let entry = request.entry;
         let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
         let grace = match job.requires_claim() {
             true => CLAIMED_RUN_GRACE,
@@ -299,6 +302,7 @@
         }));
         let id = job.request.id.clone();
         self.record_event(&id, Event::Started);
+        self.record_start(now, entry);
     }
 
     /// Handles the result of a request that was sent to the target.
@@ -349,6 +353,11 @@
         answer: TargetAnswer,
         service_time: Duration,
     ) {
+        if answer.execution != ExecutionStatus::Misdirected
+            && self.is_current_process(&job.instance)
+        {
+            self.observe_rate(answer.rate);
+        }
         self.observe_report(now, &answer);
         match answer.execution {
             ExecutionStatus::Misdirected => {
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -32,6 +32,9 @@
     pub(crate) pace: u16,
     /// Age of the target's load report; 0 if there was none.
     pub(crate) report_age_ms: u64,
+    /// Requests per second that the target accepts; `None` if it accepts any number.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) rate_limit: Option<f64>,
 }
 
 /// An event of a request.
@@ -244,8 +247,12 @@
 
 impl GuardState {
     fn text(&self) -> String {
+        let rate = match self.rate_limit {
+            Some(limit) => format!(", at most {limit} a second"),
+            None => String::new(),
+        };
         format!(
-            "{} of {} running, {} waiting, pace {} as told {} ms ago",
+            "{} of {} running, {} waiting, pace {} as told {} ms ago{rate}",
             self.in_flight, self.slots, self.queued, self.pace, self.report_age_ms
         )
     }
