--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -59,6 +59,10 @@
     pace: Cell<f64>,
     failure_mode: RefCell<Box<str>>,
     is_leaving: Cell<bool>,
+    /// Whether answers say that the target is leaving, before it announces that.
+    states_leaving: Cell<bool>,
+    /// Requests per second that the answers name as the accepted rate.
+    rate_limit: Cell<Option<f64>>,
     random: RefCell<fastrand::Rng>,
 }
 
@@ -77,6 +81,8 @@
         pace: Cell::new(1.0),
         failure_mode: RefCell::default(),
         is_leaving: Cell::new(false),
+        states_leaving: Cell::new(false),
+        rate_limit: Cell::new(None),
         random: RefCell::new(fastrand::Rng::with_seed(settings.seed)),
         settings,
     });
@@ -190,12 +196,16 @@
         let load = format!("{},0,{},{pace}", self.running.get(), self.settings.slots);
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        let headers = [
+        let mut headers = vec![
             ("bronzeport-server-load", load),
             ("bronzeport-instance-id", self.instance.clone()),
             ("bronzeport-request-id", id.to_owned()),
             ("bronzeport-server-signature", format!("s-{id}")),
         ];
+        headers.extend(self.rate_limit.get().map(|limit| ("server-limit", limit.to_string())));
+        if self.states_leaving.get() {
+            headers.push(("server-leaving", "1".to_owned()));
+        }
         for (name, value) in headers {
             if let Ok(value) = HeaderValue::try_from(value) {
                 response.headers_mut().insert(name, value);
@@ -212,6 +222,12 @@
         if let Some(fails) = value["fails"].as_str() {
             *self.failure_mode.borrow_mut() = fails.into();
         }
+        if let Some(limit) = value.get("rate_limit") {
+            self.rate_limit.set(limit.as_f64());
+        }
+        if value["state_leaving"] == true {
+            self.states_leaving.set(true);
+        }
         if value["leave"] == true {
             self.is_leaving.set(true);
         }
