Admission: starts keep the rate that the target accepts

Cause: the guard, through which every request to a target goes, admitted by slots alone; no part of the product read the limit. Class: a figure that one target names for all, where each entry decides for itself whether to send.

Change: rate::Pacer in the admission controller. Credit grows with the limit, up to 250 ms of it or two requests, and starts at zero when a limit is first named and in a guard that has just started, since what the target got before is not known there. A request without credit is refused like one without a slot, or waits; what the limit makes late is refused at once. Since all entries send through the one guard, the sum binds whatever they know. So that they do not all try in vain, a guard shares the time out among the requests that arrive and names in each load report the period (start_period) that an entry leaves between two requests.

What is lost is capacity that the targets do not offer, in part; entries do not know yet how long the queue at a limited target takes.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -8,6 +8,7 @@
 use crate::limit::ConcurrencyLimit;
 use crate::pace::PaceHistory;
 use crate::queue::{Class, Conditions, Queue, Waiting};
+use crate::rate::{Limit, Pacer};
 
 /// Maximum number of waiting requests per advertised slot.
 const MAX_QUEUED_PER_SLOT: usize = 64;
@@ -82,6 +83,8 @@
     Start(Ticket),
     /// Refuse this request: it can no longer be answered before its deadline.
     Expire(Ticket),
+    /// Nothing to do until a request ends or arrives, or this time has passed.
+    Sleep(Duration),
     /// Nothing to do until a request ends or arrives.
     Idle,
 }
@@ -114,6 +117,8 @@
     displaced: Vec<Ticket>,
     /// Current and recent pace of the target.
     pace: PaceHistory,
+    /// Spaces the starts if the target limits its rate.
+    pacer: Option<Pacer>,
     is_leaving: bool,
 }
 
@@ -135,6 +140,7 @@
             queue: Queue::default(),
             displaced: Vec::new(),
             pace: PaceHistory::default(),
+            pacer: None,
             is_leaving: false,
         }
     }
@@ -145,13 +151,17 @@
             return Decision::Refuse(Refusal::Leaving);
         }
         self.limit.warm_up(now);
+        if let Some(pacer) = &mut self.pacer {
+            pacer.record_arrival(now);
+        }
         let conditions = self.conditions(now);
         let is_first = !self.queue.has_startable(&conditions);
         if self.has_free_slot()
+            && self.start_delay(now).is_zero()
             && is_first
             && conditions.can_start(request.nominal_time, request.deadline)
         {
-            self.running.insert(request.ticket);
+            self.start(now, request.ticket);
             return Decision::Start;
         }
         if self.discipline == Discipline::Fifo {
@@ -209,9 +219,19 @@
                 return QueueAction::Expire(ticket);
             }
         }
-        if !self.has_free_slot() {
+        if self.pacer.is_some()
+            && let Some(ticket) = self.find_displaced(now)
+        {
+            self.queue.remove(ticket);
+            return QueueAction::Expire(ticket);
+        }
+        if !self.has_free_slot() || self.queue.len() == 0 {
             return QueueAction::Idle;
         }
+        let delay = self.start_delay(now);
+        if !delay.is_zero() {
+            return QueueAction::Sleep(delay);
+        }
         let conditions = self.conditions(now);
         if self.discipline == Discipline::Deadline
             && let Some(infeasible) = self.queue.pop_infeasible(&conditions)
@@ -221,10 +241,38 @@
         let Some(next) = self.queue.pop(&conditions) else {
             return QueueAction::Idle;
         };
-        self.running.insert(next.ticket);
+        self.start(now, next.ticket);
         QueueAction::Start(next.ticket)
     }
 
+    fn start(&mut self, now: Instant, ticket: Ticket) {
+        self.running.insert(ticket);
+        if let Some(pacer) = &mut self.pacer {
+            pacer.record_start(now);
+        }
+    }
+
+    /// Sets the rate that the target accepts; `None` if it accepts any. Applies to the
+    /// current target process.
+    pub fn set_rate_limit(&mut self, now: Instant, limit: Option<Limit>) {
+        match (limit, &mut self.pacer) {
+            (None, _) => self.pacer = None,
+            (Some(limit), Some(pacer)) => pacer.set_limit(now, limit),
+            (Some(limit), None) => self.pacer = Some(Pacer::new(now, limit)),
+        }
+    }
+
+    /// Time that an entry leaves between two requests so that all entries together keep the
+    /// rate that the target accepts; zero if there is no need.
+    pub fn start_period(&self, now: Instant) -> Duration {
+        self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.period(now))
+    }
+
+    /// Time until the rate that the target accepts allows another start.
+    fn start_delay(&self, now: Instant) -> Duration {
+        self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.delay(now, 1))
+    }
+
     /// Records the current pace of the target: the ratio of its service times to the
     /// nominal ones.
     pub fn observe_pace(&mut self, now: Instant, pace: f64) {
@@ -233,7 +281,7 @@
 
     fn conditions(&self, now: Instant) -> Conditions {
         let service_time = self.limit.service_time();
-        let last_start = now + self.wait_behind(self.queue.len());
+        let last_start = now + self.wait_behind(now, self.queue.len());
         let is_overloaded =
             self.queue.earliest_deadline().is_some_and(|earliest| earliest < last_start);
         Conditions {
@@ -264,6 +312,7 @@
         self.limit = ConcurrencyLimit::new(slots);
         self.knee = Knee::default();
         self.pace = PaceHistory::default();
+        self.pacer = None;
         if !is_cold {
             self.limit.skip_warm_up();
         }
@@ -271,8 +320,8 @@
     }
 
     /// Estimated time until the requests that wait now have started.
-    pub fn retry_after(&self) -> Duration {
-        self.wait_behind(self.queue.len()).max(MIN_RETRY_AFTER)
+    pub fn retry_after(&self, now: Instant) -> Duration {
+        self.wait_behind(now, self.queue.len()).max(MIN_RETRY_AFTER)
     }
 
     /// Limits the number of requests that run at a time, for this and later target
@@ -336,8 +385,8 @@
         };
         let conditions = self.conditions(now);
         let ahead = self.queue.ahead_of(&waiting, &conditions);
-        let start = now + self.wait_behind(ahead);
-        let retry_after = self.retry_after();
+        let start = now + self.wait_behind(now, ahead);
+        let retry_after = self.retry_after(now);
         let is_full = self.queue.len() >= MAX_QUEUED_PER_SLOT * usize::from(self.advertised_slots);
         if !request.may_queue || is_full {
             return Decision::Refuse(Refusal::Busy { retry_after });
@@ -356,14 +405,17 @@
     fn find_displaced(&self, now: Instant) -> Option<Ticket> {
         let conditions = self.conditions(now);
         let last = self.queue.last_urgent(&conditions)?;
-        let start = now + self.wait_behind(self.queue.ahead_of(&last, &conditions));
+        let start = now + self.wait_behind(now, self.queue.ahead_of(&last, &conditions));
         let is_infeasible = start + conditions.best_case_time(last.nominal_time) > last.deadline;
         is_infeasible.then_some(last.ticket)
     }
 
     /// Estimated time until a request with `ahead` others in front of it starts.
-    fn wait_behind(&self, ahead: usize) -> Duration {
+    fn wait_behind(&self, now: Instant, ahead: usize) -> Duration {
         let turns = (ahead as f64 + 1.0) / f64::from(self.slots());
-        self.limit.service_time().mul_f64(turns)
+        let for_slot = self.limit.service_time().mul_f64(turns);
+        let for_rate =
+            self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.delay(now, ahead + 1));
+        for_slot.max(for_rate)
     }
 }
--- a/crates/admit/src/rate.rs
+++ b/crates/admit/src/rate.rs
@@ -9,6 +9,20 @@
 pub const WINDOW: Duration = Duration::from_secs(4);
 /// Maximum number of requests that a meter remembers.
 const MAX_METERED: usize = 4_096;
+/// Time without requests after which the unused part of a limit no longer accumulates.
+const BURST: Duration = Duration::from_millis(250);
+/// Smallest burst. With less than two requests, the time between a start and the next
+/// request of an entry would be lost.
+const MIN_BURST: f64 = 2.0;
+/// Factor by which entries together are told to send more than the limit, so that the
+/// target gets what it accepts although some entries send later than they may.
+const OVERBOOKING: f64 = 1.25;
+/// Longest time that an entry is told to leave between two requests.
+const MAX_PERIOD: Duration = Duration::from_secs(5);
+/// Longest delay of a start. Applies to limits close to zero.
+const MAX_DELAY: Duration = Duration::from_secs(3_600);
+/// Tolerance for rounding when credit is compared with a number of requests.
+const ROUNDING: f64 = 1e-6;
 
 /// The number of requests per second that a target accepts from all entries together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -35,9 +49,14 @@
         self.0
     }
 
-    /// Number of requests allowed in [`WINDOW`].
+    /// Largest number of requests that start in [`WINDOW`].
     pub fn per_window(self) -> f64 {
-        self.0 * WINDOW.as_secs_f64()
+        self.0 * WINDOW.as_secs_f64() + self.burst()
+    }
+
+    /// Largest number of requests that may start at once.
+    fn burst(self) -> f64 {
+        (self.0 * BURST.as_secs_f64()).max(MIN_BURST)
     }
 }
 
@@ -53,6 +72,76 @@
     Unreadable,
 }
 
+/// Spaces the starts of requests so that a target gets no more than its limit.
+#[derive(Debug)]
+pub(crate) struct Pacer {
+    limit: Limit,
+    /// Number of requests that could start at `credited_at`.
+    credit: f64,
+    credited_at: Instant,
+    /// End of the time that is shared out among the entries.
+    shared_until: Instant,
+}
+
+impl Pacer {
+    /// Creates a pacer without credit: what the target got before is not known.
+    pub(crate) fn new(now: Instant, limit: Limit) -> Self {
+        Self { limit, credit: 0.0, credited_at: now, shared_until: now }
+    }
+
+    /// Replaces the limit. Credit that the new limit would not have given is dropped.
+    pub(crate) fn set_limit(&mut self, now: Instant, limit: Limit) {
+        self.settle(now);
+        self.limit = limit;
+        self.credit = self.credit.min(limit.burst());
+    }
+
+    /// Records the start of a request.
+    pub(crate) fn record_start(&mut self, now: Instant) {
+        self.settle(now);
+        self.credit = (self.credit - 1.0).max(0.0);
+    }
+
+    /// Time until `requests` more may have started.
+    pub(crate) fn delay(&self, now: Instant, requests: usize) -> Duration {
+        let missing = requests as f64 - self.credit(now);
+        match missing <= ROUNDING {
+            true => Duration::ZERO,
+            false => seconds(missing / self.limit.per_second(), MAX_DELAY),
+        }
+    }
+
+    /// Records that a request of an entry has arrived, for which a share of the limit is
+    /// set aside.
+    pub(crate) fn record_arrival(&mut self, now: Instant) {
+        let share = seconds(1.0 / (self.limit.per_second() * OVERBOOKING), MAX_PERIOD);
+        let earliest = now + self.delay(now, 1);
+        self.shared_until = (self.shared_until + share).max(earliest).min(now + MAX_PERIOD);
+    }
+
+    /// Time that an entry leaves between two requests: until then, the limit is shared out
+    /// among those that have arrived.
+    pub(crate) fn period(&self, now: Instant) -> Duration {
+        self.shared_until.saturating_duration_since(now)
+    }
+
+    fn credit(&self, now: Instant) -> f64 {
+        let earned = now.saturating_duration_since(self.credited_at).as_secs_f64();
+        let earned = earned * self.limit.per_second();
+        (self.credit + earned).min(self.limit.burst())
+    }
+
+    fn settle(&mut self, now: Instant) {
+        self.credit = self.credit(now);
+        self.credited_at = now;
+    }
+}
+
+/// Converts to a duration of at most `max`.
+fn seconds(seconds: f64, max: Duration) -> Duration {
+    Duration::try_from_secs_f64(seconds).map_or(max, |duration| duration.min(max))
+}
+
 /// Counts the requests that were sent to a target within [`WINDOW`], by entry.
 #[derive(Debug, Default)]
 pub struct Meter {
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -263,6 +263,7 @@
                     );
                 }
                 QueueAction::Idle => break,
+                QueueAction::Sleep(_) => panic!("no rate is limited"),
             }
         }
         assert_eq!(controller.in_flight(), oracle.running.len());
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -96,6 +96,7 @@
                     result.time_left.push(limit + Duration::from_millis(ticket) - since);
                 }
                 QueueAction::Idle => break,
+                QueueAction::Sleep(_) => panic!("no rate is limited"),
             }
         }
     }
@@ -334,6 +335,7 @@
                 QueueAction::Start(ticket) => run(ticket),
                 QueueAction::Expire(_) => {}
                 QueueAction::Idle => break,
+                QueueAction::Sleep(_) => panic!("no rate is limited"),
             }
         }
     }
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -62,6 +62,8 @@
     TargetSettings(Vec<TargetSettings>),
     /// A warm-up step has passed, so that the target may have one more slot.
     WarmUpStep,
+    /// The rate that the target accepts allows another start.
+    StartDue,
     /// Holds that follow from crashes, here or at other daemons.
     Holds(Vec<Hold>),
     /// Returns the load.
--- a/crates/daemon/src/guard/rate_limit.rs
+++ b/crates/daemon/src/guard/rate_limit.rs
@@ -1,10 +1,11 @@
 //! The request rate that the target accepts, and the rate at which it gets requests.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use admit::rate;
 use route::Node;
 
+use super::Message;
 use super::task::Task;
 
 /// Maximum number of entries named in a log line.
@@ -17,6 +18,8 @@
     meter: rate::Meter,
     /// When an excess was last logged.
     excess_logged_at: Option<Instant>,
+    /// Sends [`Message::StartDue`] when the target accepts another request.
+    pub(super) start_timer: Option<kernel::Task<()>>,
 }
 
 impl Task {
@@ -35,6 +38,7 @@
         }
         // Requests sent under the earlier limit are not compared with the new one.
         self.rate_observer = RateObserver { limit, ..RateObserver::default() };
+        self.controller.set_rate_limit(self.now(), limit);
         match limit {
             Some(limit) => log::info!(
                 target: "daemon::guard::belief",
@@ -48,6 +52,18 @@
         }
     }
 
+    /// Sends [`Message::StartDue`] after `delay`, unless that is already scheduled.
+    pub(super) fn wake_after(&mut self, delay: Duration) {
+        if self.rate_observer.start_timer.is_some() {
+            return;
+        }
+        let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
+        self.rate_observer.start_timer = Some(self.kernel.spawn(async move {
+            clock.sleep(delay).await;
+            mailbox.send(Message::StartDue);
+        }));
+    }
+
     /// Records a request of `entry` that is sent to the target, and logs if the target gets
     /// more requests than it accepts.
     pub(super) fn record_start(&mut self, now: Instant, entry: Node) {
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -40,6 +40,7 @@
             service_time: self.controller.service_time(),
             leaving: self.controller.is_leaving(),
             pace: self.pace(),
+            start_period: self.controller.start_period(self.now()),
         }
     }
 
@@ -139,7 +140,7 @@
     /// Refuses a request that has just been removed from the queue.
     pub(super) fn refuse_withdrawn(&mut self, ticket: Ticket, reason: Reason) {
         if let Some(job) = self.jobs.remove(&ticket) {
-            let after = self.controller.retry_after();
+            let after = self.controller.retry_after(self.now());
             self.refuse(job, reason, after);
         }
     }
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -116,6 +116,7 @@
             }
             // `run` starts waiting requests after each message.
             Message::WarmUpStep => {}
+            Message::StartDue => self.rate_observer.start_timer = None,
             Message::Holds(holds) => {
                 let now = self.now();
                 for hold in holds {
@@ -264,6 +265,7 @@
             let now = self.now();
             match self.controller.next_action(now) {
                 QueueAction::Idle => return,
+                QueueAction::Sleep(delay) => return self.wake_after(delay),
                 QueueAction::Start(ticket) => self.start_run(ticket),
                 QueueAction::Expire(ticket) => self.refuse_withdrawn(ticket, Reason::Late),
             }
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -56,6 +56,9 @@
     /// Current duration of work on the target's host, in percent of its duration at
     /// nominal pace; 0 if unknown.
     pub pace: u16,
+    /// Time that an entry leaves between two requests to the target, which limits its
+    /// rate; zero if there is no need.
+    pub start_period: Duration,
 }
 
 /// Averages over the pool and properties of the call, used where a target's own
@@ -97,6 +100,8 @@
     pub(crate) target: Target,
     report: Option<Report>,
     last_probe: Option<Instant>,
+    /// When the latest attempt of this entry was sent.
+    last_attempt: Option<Instant>,
     observed_service_time: Option<(Duration, Instant)>,
     outstanding: Vec<OutstandingAttempt>,
     failures: u32,
@@ -121,6 +126,7 @@
             target,
             report: None,
             last_probe: None,
+            last_attempt: None,
             observed_service_time: None,
             outstanding: Vec::new(),
             failures: 0,
@@ -195,6 +201,7 @@
             may_wait,
             kind,
         });
+        self.last_attempt = Some(now);
         self.on_trial = self.ejected_until.is_some();
         prediction
     }
@@ -339,7 +346,13 @@
     }
 
     pub(crate) fn has_free_slot(&self, now: Instant, prior: Prior) -> bool {
-        self.occupancy(now, prior) + 1.0 <= self.slots()
+        self.occupancy(now, prior) + 1.0 <= self.slots() && self.start_delay(now).is_zero()
+    }
+
+    /// Time until this entry may send another request to a target that limits its rate.
+    fn start_delay(&self, now: Instant) -> Duration {
+        let period = self.report.map_or(Duration::ZERO, |report| report.load.start_period);
+        self.last_attempt.map_or(Duration::ZERO, |at| (at + period).saturating_duration_since(now))
     }
 
     /// Expected time from sending a call to its answer, in seconds, plus the transfer
@@ -349,7 +362,8 @@
         let slots = self.slots();
         let patient = if may_wait { self.patient(now, prior) } else { 0.0 };
         let occupancy = self.occupancy(now, prior) + patient;
-        let wait = service_time * ((occupancy + 1.0 - slots) / slots).max(0.0);
+        let wait_for_slot = service_time * ((occupancy + 1.0 - slots) / slots).max(0.0);
+        let wait = wait_for_slot.max(self.start_delay(now).as_secs_f64());
         // The number of free slots is only an estimate. The fuller the target, the
         // more likely the call has to wait, so the penalty grows with the load.
         let penalty = match self.reported_pace() {
--- a/crates/route/tests/pool.rs
+++ b/crates/route/tests/pool.rs
@@ -49,6 +49,7 @@
         service_time: SERVICE_TIME,
         leaving: false,
         pace: 0,
+        start_period: Duration::ZERO,
     }
 }
 
--- a/crates/wire/schema/bronzeport.capnp
+++ b/crates/wire/schema/bronzeport.capnp
@@ -21,6 +21,7 @@
   leaving @4 :Bool;
   patient @5 :UInt16;
   pacePercent @6 :UInt16;
+  startPeriodMicros @7 :UInt32;
 }
 
 struct Request {
--- a/crates/wire/src/bronzeport_capnp.rs
+++ b/crates/wire/src/bronzeport_capnp.rs
@@ -629,11 +629,15 @@
         pub fn get_pace_percent(self) -> u16 {
             self.reader.get_data_field::<u16>(7)
         }
+        #[inline]
+        pub fn get_start_period_micros(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -739,6 +743,14 @@
         pub fn set_pace_percent(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(7, value);
         }
+        #[inline]
+        pub fn get_start_period_micros(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_start_period_micros(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -750,73 +762,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(0, 43, 39, 239, 147, 185, 183, 164),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(82, 119, 63, 158, 192, 182, 161, 212),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
             ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 76, 111, 97, 100, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 48, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
@@ -876,6 +895,16 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 80, 101, 114),
+            ::capnp::word(105, 111, 100, 77, 105, 99, 114, 111),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -886,6 +915,7 @@
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -899,9 +929,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,6,5,1,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,6,5,1,3,2,7];
         pub(crate) const TYPE_ID: u64 = 0xa4b7_b993_ef27_2b00;
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -127,6 +127,7 @@
     to.set_leaving(from.leaving);
     to.set_patient(from.patient);
     to.set_pace_percent(from.pace);
+    to.set_start_period_micros(micros_of(from.start_period));
 }
 
 pub(crate) fn read_load(from: schema::load::Reader<'_>) -> Load {
@@ -138,6 +139,7 @@
         leaving: from.get_leaving(),
         patient: from.get_patient(),
         pace: from.get_pace_percent(),
+        start_period: Duration::from_micros(from.get_start_period_micros().into()),
     }
 }
 
