Guard: a target that states in an answer that it is leaving gets no new requests

Cause: only notices and the health page's status were applied, and a notice may come later than the first answer with server-leaving, or be lost. Change: Registration::leave, applied from answers to requests and of the health page, as a notice that the process is leaving; a later announcement of the same process does not undo it.

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -92,6 +92,17 @@
         }
     }
 
+    /// Records that the process with this instance id states that it is leaving.
+    pub fn leave(&mut self, instance: &str) -> NoticeEffect {
+        match &mut self.current {
+            Some(current) if *current.instance == *instance => {
+                current.is_leaving = true;
+                NoticeEffect::Leaving
+            }
+            _ => NoticeEffect::Stale,
+        }
+    }
+
     /// Removes the process with this instance id, because its address now belongs to
     /// another target. No process is registered until the next notice. Returns whether
     /// `instance` was registered.
--- a/crates/admit/tests/standing.rs
+++ b/crates/admit/tests/standing.rs
@@ -117,3 +117,16 @@
         true
     }
 }
+
+/// Issue 26: a target may state in an answer that it is leaving, before any notice does.
+#[test]
+fn stated_leaving_is_not_undone_by_a_later_announcement() {
+    let mut registration = Registration::default();
+    registration.apply(Notice::Announced(running("a", 1, 1)));
+    assert_eq!(registration.leave("other"), NoticeEffect::Stale);
+    assert!(registration.accepts_requests());
+    assert_eq!(registration.leave("a"), NoticeEffect::Leaving);
+    assert_eq!(registration.apply(Notice::Announced(running("a", 1, 2))), NoticeEffect::Leaving);
+    assert!(!registration.accepts_requests());
+    assert_eq!(registration.apply(Notice::Announced(running("a", 2, 1))), NoticeEffect::Started);
+}
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -213,7 +213,7 @@
         let now = self.now();
         let is_own = |instance: &str| self.is_current_process(instance);
         if answer.instance.as_deref().is_none_or(is_own) {
-            self.observe_rate(answer.rate);
+            self.apply_statements(&answer);
         }
         self.observe_report(now, &answer);
         let (Some(registration), Some(target)) = (&mut self.registration, &self.target) else {
@@ -226,7 +226,7 @@
                 service: self.service.borrow().clone(),
                 address: target.identity().address,
                 slots: report.slots.max(1),
-                is_leaving: false,
+                is_leaving: answer.is_leaving,
                 started: 0,
                 sequence: 0,
                 cold_remaining: Duration::ZERO,
@@ -254,6 +254,19 @@
         }
     }
 
+    /// Applies what an answer of the current target process states about the process.
+    pub(super) fn apply_statements(&mut self, answer: &TargetAnswer) {
+        self.observe_rate(answer.rate);
+        let Some(target) = self.target.as_ref().filter(|_| answer.is_leaving) else {
+            return;
+        };
+        if let Some(registration) = &mut self.registration
+            && registration.leave(&target.identity().instance) == NoticeEffect::Leaving
+        {
+            self.stop_admitting();
+        }
+    }
+
     /// Starts to serve a target process that has just been registered.
     pub(super) fn serve_new_process(&mut self) {
         let Some(current) = self.registration.as_ref().and_then(Registration::current).cloned()
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -358,7 +358,7 @@
         if answer.execution != ExecutionStatus::Misdirected
             && self.is_current_process(&job.instance)
         {
-            self.observe_rate(answer.rate);
+            self.apply_statements(&answer);
         }
         self.observe_report(now, &answer);
         match answer.execution {
