Guard: a new target process is checked before it gets its first request

Callers saw nothing; a target that accepts no requests at all got some from a daemon that had just been started beside it. Cause: a process was served from its first notice on, and what it states is read from its first answer. The hosts at which requests enter are not excused by the restart of another. The order of a process that is found by its health page is mended too: what that answer stated was forgotten when the process was registered.

--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -177,6 +177,7 @@
         node,
         adapter,
         is_reachable: false,
+        is_checked: false,
         target,
         service: service.clone(),
         registration: adapter.read_notice.map(|_| Registration::default()),
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -193,6 +193,7 @@
         if !self.is_current_process(instance) {
             return;
         }
+        let was_checked = std::mem::replace(&mut self.is_checked, true);
         match result {
             HealthCheckResult::Connected
                 if self.registration.as_ref().is_none_or(Registration::accepts_requests) =>
@@ -201,7 +202,9 @@
             }
             HealthCheckResult::Connected => {}
             HealthCheckResult::Unreachable => self.set_reachable(false),
-            HealthCheckResult::NoAnswer => {}
+            HealthCheckResult::NoAnswer if was_checked => {}
+            // The page may be out of order while the target is not.
+            HealthCheckResult::NoAnswer => self.confirm_process(),
             HealthCheckResult::Answered(answer) => self.apply_health_page(answer),
         }
     }
@@ -211,18 +214,12 @@
     /// only source of information.
     pub(super) fn apply_health_page(&mut self, answer: TargetAnswer) {
         let now = self.now();
-        let is_own = |instance: &str| self.is_current_process(instance);
-        if answer.instance.as_deref().is_none_or(is_own) {
-            self.apply_statements(&answer);
-        }
-        self.observe_report(now, &answer);
-        let (Some(registration), Some(target)) = (&mut self.registration, &self.target) else {
-            return;
-        };
-        let found = answer.instance.zip(answer.report);
-        if let Some((instance, report)) = found.filter(|_| answer.status == 200) {
+        let found = answer.instance.as_deref().zip(answer.report);
+        if let Some((instance, report)) = found.filter(|_| answer.status == 200)
+            && let (Some(registration), Some(target)) = (&mut self.registration, &self.target)
+        {
             let announcement = Announcement {
-                instance,
+                instance: instance.into(),
                 service: self.service.borrow().clone(),
                 address: target.identity().address,
                 slots: report.slots.max(1),
@@ -233,9 +230,22 @@
             };
             if registration.apply_health_page(announcement) == NoticeEffect::Started {
                 self.serve_new_process();
+                self.is_checked = true;
             }
         }
-        if self.registration.as_ref().is_some_and(Registration::accepts_requests) {
+        let is_own = |instance: &str| self.is_current_process(instance);
+        if answer.instance.as_deref().is_none_or(is_own) {
+            self.apply_statements(&answer);
+        }
+        self.observe_report(now, &answer);
+        self.confirm_process();
+    }
+
+    /// Admits requests if a process is registered that accepts them, once it has been
+    /// checked: its answer may state that it accepts fewer requests, or none.
+    fn confirm_process(&mut self) {
+        let is_registered = self.registration.as_ref().is_some_and(Registration::accepts_requests);
+        if is_registered && self.is_checked {
             self.set_reachable(true);
         }
     }
@@ -249,7 +259,7 @@
         match effect {
             NoticeEffect::Started => self.serve_new_process(),
             NoticeEffect::Leaving => self.stop_admitting(),
-            NoticeEffect::Confirmed => self.set_reachable(true),
+            NoticeEffect::Confirmed => self.confirm_process(),
             NoticeEffect::Stale => metrics::counter!("bronzeport_stale_notices_total").increment(1),
         }
     }
@@ -291,7 +301,8 @@
         let (service, slots) = (current.service, current.slots);
         membership.send(membership::Message::AnnounceService { service, slots });
         self.is_reachable = false;
-        self.set_reachable(true);
+        self.is_checked = false;
+        self.last_health_check = None;
     }
 
     /// Stops admitting requests because the target is leaving, and refuses the waiting ones
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -47,6 +47,8 @@
     pub(super) node: Node,
     pub(super) adapter: ProtocolAdapter,
     pub(super) is_reachable: bool,
+    /// Whether the registered process has been checked since it was registered.
+    pub(super) is_checked: bool,
     pub(super) target: Option<Target>,
     /// Service of the target. The handle of the guard shares this value.
     pub(super) service: Rc<RefCell<Box<str>>>,
--- a/crates/lab/tests/rate.rs
+++ b/crates/lab/tests/rate.rs
@@ -127,3 +127,22 @@
     let late = run_times(&mesh).into_iter().filter(|at| *at >= bound_from).count();
     assert_eq!(late, 0, "requests later than 2 s after the first statement");
 }
+
+/// Issue 26: a daemon that had just started admitted requests before it had asked the target
+/// what it accepts, as if there were no limit.
+#[test]
+fn a_replaced_daemon_admits_nothing_before_it_knows_what_the_target_accepts() {
+    let mut mesh = mesh();
+    mesh.set_target_behaviour(LIMITED, &json!({ "rate_limit": 0.0 }));
+    std::thread::sleep(SETTLE);
+    let late = under_load(&mut mesh, |mesh| {
+        run_times(mesh);
+        for _ in 0..4 {
+            mesh.kill_daemon(LIMITED);
+            mesh.start_daemon(LIMITED).expect("the daemon starts");
+            std::thread::sleep(Duration::from_secs(1));
+        }
+        run_times(mesh)
+    });
+    assert_eq!(late.len(), 0, "requests of a target that accepts none");
+}
