Guard: the load is published when the target's limit ends

Callers may have been sent elsewhere for some seconds. Cause: datagrams between daemons repeat the load that was last published, and an entry takes over its start_period, at most 5 s, also after the limit has ended. Change: the end of a limit is published like a change of pace.

--- a/crates/daemon/src/guard/rate_limit.rs
+++ b/crates/daemon/src/guard/rate_limit.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub(super) struct RateObserver {
     pub(super) limit: Option<rate::Limit>,
+    /// Whether the target has stopped limiting the rate and the load is not yet published.
+    pub(super) has_limit_ended: bool,
     meter: rate::Meter,
     /// When an excess was last logged.
     excess_logged_at: Option<Instant>,
@@ -37,7 +39,8 @@
             return;
         }
         // Requests sent under the earlier limit are not compared with the new one.
-        self.rate_observer = RateObserver { limit, ..RateObserver::default() };
+        self.rate_observer =
+            RateObserver { limit, has_limit_ended: limit.is_none(), ..RateObserver::default() };
         self.controller.set_rate_limit(self.now(), limit);
         match limit {
             Some(limit) => log::info!(
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -49,13 +49,14 @@
         self.pace_report.map_or(0, |report| report.pace)
     }
 
-    /// Publishes the load at once if the pace has changed much, or if the target has
-    /// started or stopped accepting requests.
+    /// Publishes the load at once if the pace has changed much, if the target has started or
+    /// stopped accepting requests, or if it no longer limits their rate.
     pub(super) fn publish_load(&mut self) {
         let load = self.load();
         let change = pace_factor(load.pace) / pace_factor(self.published_load.pace);
         let has_changed = !(1.0 / PACE_PUBLISH_FACTOR..PACE_PUBLISH_FACTOR).contains(&change)
-            || load.leaving != self.published_load.leaving;
+            || load.leaving != self.published_load.leaving
+            || std::mem::take(&mut self.rate_observer.has_limit_ended);
         if !has_changed || self.target.is_none() {
             return;
         }
--- a/crates/lab/tests/rate.rs
+++ b/crates/lab/tests/rate.rs
@@ -70,13 +70,17 @@
     })
 }
 
-/// Times in Unix milliseconds at which the limited target ran requests, since the last call.
-fn run_times(mesh: &Mesh) -> Vec<u64> {
-    let lines = mesh.target_lines(LIMITED);
+/// Times in Unix milliseconds at which the target of `host` ran requests, since the last call.
+fn run_times_at(mesh: &Mesh, host: usize) -> Vec<u64> {
+    let lines = mesh.target_lines(host);
     let runs = lines.iter().filter_map(|line| line.strip_prefix("run ")?.split(' ').next());
     runs.filter_map(|millis| millis.parse().ok()).collect()
 }
 
+fn run_times(mesh: &Mesh) -> Vec<u64> {
+    run_times_at(mesh, LIMITED)
+}
+
 /// The largest number of runs in a window that starts at `from_ms` or later.
 fn most_in_window(times: &[u64], from_ms: u64) -> usize {
     let starts = times.iter().filter(|start| **start >= from_ms);
@@ -117,6 +121,30 @@
     });
 }
 
+/// A load report from the time of a limit must not hold back requests after the limit has
+/// ended.
+#[test]
+fn a_target_gets_its_share_again_after_its_limit_has_ended() {
+    let mut mesh = mesh();
+    let behave = |mesh: &Mesh, behaviour| mesh.set_target_behaviour(LIMITED, &behaviour);
+    behave(&mesh, json!({ "pace": 3.0, "rate_limit": 0.5 }));
+    let (own, other) = under_load(&mut mesh, |mesh| {
+        std::thread::sleep(Duration::from_secs(3));
+        // The guard publishes the load because the pace has changed.
+        behave(mesh, json!({ "pace": 1.0 }));
+        std::thread::sleep(Duration::from_secs(1));
+        behave(mesh, json!({ "rate_limit": null }));
+        std::thread::sleep(Duration::from_secs(5));
+        for host in [LIMITED, 2, 4] {
+            run_times_at(mesh, host);
+        }
+        std::thread::sleep(Duration::from_secs(6));
+        let other = [2, 4].map(|host| run_times_at(mesh, host).len());
+        (run_times(mesh).len(), other.iter().sum::<usize>())
+    });
+    assert!(own * 4 >= other, "{own} requests, and {other} at the two other targets");
+}
+
 /// Issue 26: leaving that only an answer states, before any notice, stops new requests too.
 #[test]
 fn a_target_whose_answers_state_leaving_gets_no_new_requests() {
