Soak: targets that limit the rate of requests, and a check that the limit is kept

It excuses nothing. Checked on the target's lines: from 3 s after a limit was named, at most one and a half times what it allows and 5 requests in any 4 s.

--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | `run MS ID CALLER DEADLINE` | a request has begun to run |
 //! | `ran MS ID` | a request has run to its end |
+//! | `limit MS RATE` | the target accepts this rate from now on; `null`: any rate |
 //! | `acked MS` | the daemon has acknowledged that this target is leaving |
 
 use std::cell::{Cell, RefCell};
@@ -224,6 +225,7 @@
         }
         if let Some(limit) = value.get("rate_limit") {
             self.rate_limit.set(limit.as_f64());
+            print_line(&format!("limit {} {limit}", unix_millis()));
         }
         if value["state_leaving"] == true {
             self.states_leaving.set(true);
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -82,9 +82,12 @@
     Ok(report)
 }
 
+/// Returns the steps that are not in `skip`, ordered by time.
 fn without_skipped(steps: &[Step], skip: &[usize]) -> Vec<Step> {
     let numbered = steps.iter().enumerate().filter(|(number, _)| !skip.contains(number));
-    numbered.map(|(_, step)| step.clone()).collect()
+    let mut remaining: Vec<Step> = numbered.map(|(_, step)| step.clone()).collect();
+    remaining.sort_by_key(|step| step.at);
+    remaining
 }
 
 /// Leaves out one step after the other and keeps each omission with which the round still
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 
-use super::host::{FaultLocation, InjectedFault, Observations};
+use super::host::{FaultLocation, InjectedFault, Observations, TargetOutput};
 use super::load::{DEADLINE, Kind, Record};
 
 /// Maximum number of targets that a request is sent to.
@@ -21,6 +21,13 @@
 const BUDGET_RATIO: f64 = 0.2;
 const BUDGET_SLACK: f64 = 56.0;
 const BUDGET_WINDOW_MS: u64 = 10_000;
+/// Time after which a limit on the request rate must be kept.
+const LIMIT_SETTLE_MS: u64 = 3000;
+/// Requests that a target may get in a window: a multiple of what its limit allows plus a
+/// constant.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+const LIMIT_WINDOW_MS: u64 = 4_000;
 /// Share of abandoned requests that may still run to completion.
 const ABANDONED_RUN_SHARE: f64 = 0.25;
 const ABANDONED_RUN_MIN: usize = 4;
@@ -44,6 +51,8 @@
     LateDeadline(Box<str>),
     /// A request reached a target after its drain was acknowledged.
     RanAfterDrain(Box<str>),
+    /// A target got more requests than the rate that it named.
+    RateExceeded(String),
     /// A planned stop lost the answer to a request.
     LostByPlannedStop(Box<str>),
     /// A daemon returned to an older configuration.
@@ -81,6 +90,7 @@
         violations.extend(check_record(record, runs, observations));
     }
     violations.extend(check_drain(observations));
+    violations.extend(observations.target_outputs.iter().filter_map(check_rate));
     violations.extend(check_configuration(observations));
     violations.extend(check_retry_budgets(records, &runs, observations));
     violations.extend(check_abandoned(records, &by_id, observations));
@@ -153,6 +163,7 @@
     }
     let from = record.sent_ms.saturating_sub(SETTLE_MS);
     let is_on_path = |location: FaultLocation| match location {
+        FaultLocation::Nowhere => false,
         FaultLocation::Host(host) => {
             host == record.entry || runs.iter().any(|run| run.host == host)
         }
@@ -233,6 +244,42 @@
         .any(|fault| affects(fault.location) && fault.from_ms <= at_ms && fault.to_ms > from)
 }
 
+/// Checks that a target gets no more requests than the rate that it names, from
+/// [`LIMIT_SETTLE_MS`] after it has named it until it names another one.
+fn check_rate(output: &TargetOutput) -> Option<Violation> {
+    let mut limit: Option<(u64, f64)> = None;
+    let mut recent: Vec<u64> = Vec::new();
+    for line in &output.lines {
+        let words: Vec<&str> = line.split(' ').collect();
+        match words[..] {
+            ["limit", at, rate] => {
+                limit = at.parse().ok().zip(rate.parse().ok());
+                recent.clear();
+            }
+            ["run", at, ..] => {
+                let (Some((named_ms, rate)), Ok(at)) = (limit, at.parse::<u64>()) else {
+                    continue;
+                };
+                if at < named_ms + LIMIT_SETTLE_MS {
+                    continue;
+                }
+                recent.push(at);
+                recent.retain(|earlier| earlier + LIMIT_WINDOW_MS > at);
+                let accepted = rate * LIMIT_WINDOW_MS as f64 / 1e3;
+                if recent.len() as f64 > accepted * LIMIT_FACTOR + LIMIT_SLACK {
+                    return Some(Violation::RateExceeded(format!(
+                        "target {} got {} requests in 4 s and accepts {rate} a second",
+                        output.host,
+                        recent.len()
+                    )));
+                }
+            }
+            _ => {}
+        }
+    }
+    None
+}
+
 fn check_retry_budgets(
     records: &[Record],
     runs: &[Run],
@@ -319,6 +366,7 @@
             Self::RanAfterDrain(id) => {
                 write!(f, "{id} reached a target after its drain was acknowledged")
             }
+            Self::RateExceeded(text) => write!(f, "{text}"),
             Self::LostByPlannedStop(id) => {
                 write!(f, "the answer to {id} was lost by a planned stop")
             }
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -38,6 +38,8 @@
 pub(super) enum FaultLocation {
     Host(usize),
     Store,
+    /// The step is no fault, and all guarantees hold as without it.
+    Nowhere,
 }
 
 /// An injected fault.
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -15,6 +15,9 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time for which a leaving target keeps serving after its announcement.
 const SERVE_AFTER_LEAVE: Duration = Duration::from_millis(3500);
+/// Requests per second that a target accepts while it names a limit. It is below what callers
+/// send to each target.
+const LIMIT_PER_SECOND: f64 = 4.0;
 /// Time, in milliseconds, within which a started process has installed its signal handlers.
 const STARTUP_MS: u64 = 1000;
 
@@ -40,6 +43,7 @@
     ContinueTarget(usize),
     StartTarget(usize),
     ResetTarget(usize),
+    ResetTargetLimit(usize),
     RestoreTargetLink(usize),
     RestorePeerLink(usize),
     RestoreStoreLink(usize),
@@ -96,6 +100,11 @@
                 post(self.hosts[host].target, "/lab", &json!({ "leave": true }));
                 (FaultLocation::Host(host), SERVE_AFTER_LEAVE, Undo::StartTarget(host))
             }
+            LimitTarget(host) => {
+                let limit = json!({ "rate_limit": LIMIT_PER_SECOND });
+                post(self.hosts[host].target, "/lab", &limit);
+                (FaultLocation::Nowhere, step.duration, Undo::ResetTargetLimit(host))
+            }
             SlowTarget(host) => self.inject_target_behaviour(host, json!({ "pace": 7.0 }), step),
             FailTarget(host) => {
                 self.inject_target_behaviour(host, json!({ "fails": "errors" }), step)
@@ -245,6 +254,9 @@
             Undo::ResetTarget(host) => {
                 post(self.hosts[host].target, "/lab", &json!({ "pace": 1.0, "fails": "" }));
             }
+            Undo::ResetTargetLimit(host) => {
+                post(self.hosts[host].target, "/lab", &json!({ "rate_limit": null }));
+            }
             Undo::RestoreTargetLink(host) => self.hosts[host].target_proxy.set(proxy::Fault::None),
             Undo::RestorePeerLink(host) => self.hosts[host].peer_proxy.set(proxy::Fault::None),
             Undo::RestoreStoreLink(host) => self.hosts[host].store_proxy.set(proxy::Fault::None),
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -11,6 +11,11 @@
 const LINK_STEPS: usize = 3;
 /// Additional clock jumps, drawn last for the same reason.
 const CLOCK_STEPS: usize = 1;
+/// Additional limits on request rates, drawn and numbered after all other steps.
+const LIMIT_STEPS: usize = 2;
+/// Time for which a target limits its rate: a limit must be kept from 3 s after it is named,
+/// and requests are counted over 4 s.
+const LIMIT_DURATION: Duration = Duration::from_secs(9);
 
 /// A fault with its time.
 #[derive(Debug, Clone)]
@@ -76,11 +81,13 @@
     DelayPeer(usize),
     /// Cuts connections from other daemons to this one in the middle of answers.
     CutPeer(usize),
+    /// Makes the target name the request rate that it accepts. Excuses nothing.
+    LimitTarget(usize),
     /// Kills daemon and target, sets the host's wall clock back and restarts both.
     SetClockBack(usize),
 }
 
-/// Generates the schedule of a seed.
+/// Generates the schedule of a seed, ordered by time but for the limits at its end.
 pub(super) fn generate(seed: u64, hosts: usize) -> Vec<Step> {
     let mut random = fastrand::Rng::with_seed(seed);
     let mut generate_step = |pick_fault: fn(&mut fastrand::Rng, usize) -> Fault| Step {
@@ -96,6 +103,10 @@
     let pickers = pickers.chain(std::iter::repeat_n(set_back, CLOCK_STEPS));
     let mut steps: Vec<Step> = pickers.map(&mut generate_step).collect();
     steps.sort_by_key(|step| step.at);
+    steps.extend((0..LIMIT_STEPS).map(|_| Step {
+        duration: LIMIT_DURATION,
+        ..generate_step(|random, hosts| Fault::LimitTarget(random.usize(..hosts)))
+    }));
     steps
 }
 
