Guard: a target that limits its rate gets no more health checks than requests

Callers saw nothing. The same class: the rate that a target accepts from all hosts together was spent on requests alone, while the guard asked for the health page up to 25 times a second for its pace. The users' rule does not count these (a target that accepts 3 requests a second got 38 in 4 s as counted there, and some 100 health checks), the target does. Now at most one in the time in which it accepts a request, one a second at the least, so that the end of a limit is noticed.

The new test counted 91 checks in 4 s before, at a limit of 2 a second, and passes now.

--- a/crates/daemon/src/guard/rate_limit.rs
+++ b/crates/daemon/src/guard/rate_limit.rs
@@ -11,6 +11,9 @@
 /// Maximum number of entries named in a log line.
 const MAX_LOGGED_ENTRIES: usize = 8;
 
+/// Longest interval between health checks of a target that limits the rate of requests.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The rate that the target accepts, compared with what it gets.
 #[derive(Debug, Default)]
 pub(super) struct RateObserver {
@@ -24,6 +27,16 @@
     pub(super) start_timer: Option<kernel::Task<()>>,
 }
 
+impl RateObserver {
+    /// Interval between health checks of a reachable target: it gets no more of them than it
+    /// accepts requests, but enough of them to notice that its limit has ended.
+    pub(super) fn check_interval(&self) -> Duration {
+        let interval = |limit: rate::Limit| Duration::try_from_secs_f64(1.0 / limit.per_second());
+        let interval = self.limit.map(|limit| interval(limit).unwrap_or(Duration::MAX));
+        interval.map_or(Duration::ZERO, |interval| interval.min(MAX_CHECK_INTERVAL))
+    }
+}
+
 impl Task {
     /// Applies what an answer of the target states about the rate that it accepts.
     pub(super) fn observe_rate(&mut self, stated: rate::Statement) {
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -177,7 +177,7 @@
         let health_path = self.find_target_settings().map(|settings| settings.health_path.clone());
         let interval = match (self.is_reachable, &health_path) {
             (true, None) => CONNECT_CHECK_INTERVAL,
-            (true, Some(_)) => Duration::ZERO,
+            (true, Some(_)) => self.rate_observer.check_interval(),
             (false, _) => DOWN_CHECK_INTERVAL,
         };
         let has_waited = self.last_health_check.is_none_or(|at| now - at >= interval);
--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -9,6 +9,7 @@
 //! | `run MS ID CALLER DEADLINE` | a request has begun to run |
 //! | `ran MS ID` | a request has run to its end |
 //! | `limit MS RATE` | the target accepts this rate from now on; `null`: any rate |
+//! | `check MS` | the health page was requested while the target limits the rate |
 //! | `acked MS` | the daemon has acknowledged that this target is leaving |
 
 use std::cell::{Cell, RefCell};
@@ -152,6 +153,9 @@
             return self.answer(StatusCode::OK, "", Bytes::new());
         }
         if path == "/healthz" {
+            if self.rate_limit.get().is_some() {
+                print_line(&format!("check {}", unix_millis()));
+            }
             let status = match self.is_leaving.get() {
                 true => StatusCode::SERVICE_UNAVAILABLE,
                 false => StatusCode::OK,
--- a/crates/lab/tests/rate.rs
+++ b/crates/lab/tests/rate.rs
@@ -121,6 +121,21 @@
     });
 }
 
+/// Issue 26: the guard requested the health page of a target 25 times a second, although the
+/// target accepted far fewer requests.
+#[test]
+fn a_target_gets_no_more_health_checks_than_it_accepts_requests() {
+    let mesh = mesh();
+    mesh.set_target_behaviour(LIMITED, &json!({ "rate_limit": 2.0 }));
+    std::thread::sleep(Duration::from_secs(1));
+    mesh.target_lines(LIMITED);
+    std::thread::sleep(Duration::from_secs(4));
+    let lines = mesh.target_lines(LIMITED);
+    let checks = lines.iter().filter(|line| line.starts_with("check ")).count();
+    assert!(checks <= 9, "{checks} checks in 4 s, 8 and the first one are accepted");
+    assert!(checks > 0, "the end of the limit would not be noticed");
+}
+
 /// A load report from the time of a limit must not hold back requests after the limit has
 /// ended.
 #[test]
