Guard: a health page that leaves the limit out does not end one that answers name

Callers saw nothing; a target whose health page does not name the limit got 51 requests in 4 s where 35 are allowed (new test, failed before). Cause: each answer replaced what the one before had stated, whatever its source. Change: rate::Statements keeps what answers and the page state apart; the lower limit is in force, and a page ends a limit only if it has named one.

--- a/crates/admit/src/rate.rs
+++ b/crates/admit/src/rate.rs
@@ -72,6 +72,55 @@
     Unreadable,
 }
 
+/// Where a target states its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// In an answer to a request.
+    Answer,
+    /// On its health page, which may leave the limit out.
+    HealthPage,
+}
+
+/// The latest statements of a target process.
+#[derive(Debug, Default)]
+pub struct Statements {
+    in_answers: Option<Limit>,
+    on_health_page: Option<Limit>,
+}
+
+impl Statements {
+    /// Records a statement. A health page that has never named the limit does not end one
+    /// that answers name.
+    pub fn observe(&mut self, source: Source, stated: Statement) {
+        let limit = match stated {
+            Statement::Unlimited => None,
+            Statement::Limited(limit) => Some(limit),
+            Statement::Unreadable => return,
+        };
+        match source {
+            Source::Answer => self.in_answers = limit,
+            Source::HealthPage => {
+                // A target that accepts no requests states the end of its limit only here.
+                if limit.is_none() && self.on_health_page.is_some() {
+                    self.in_answers = None;
+                }
+                self.on_health_page = limit;
+            }
+        }
+    }
+
+    /// The limit in force: the lower one of those stated. A limit that only answers state
+    /// allows one request in [`WINDOW`], because only an answer can state its end.
+    pub fn limit(&self) -> Option<Limit> {
+        let least = 1.0 / WINDOW.as_secs_f64();
+        match (self.in_answers, self.on_health_page) {
+            (Some(one), Some(other)) => Some(Limit(one.0.min(other.0))),
+            (Some(in_answers), None) => Some(Limit(in_answers.0.max(least))),
+            (None, on_health_page) => on_health_page,
+        }
+    }
+}
+
 /// Spaces the starts of requests so that a target gets no more than its limit.
 #[derive(Debug)]
 pub(crate) struct Pacer {
--- a/crates/admit/tests/rate.rs
+++ b/crates/admit/tests/rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use admit::rate::{Limit, WINDOW};
+use admit::rate::{Limit, Source, Statement, Statements, WINDOW};
 use admit::{
     AdmissionController, Class, Completion, Decision, QueueAction, Refusal, Request, Ticket,
 };
@@ -203,3 +203,32 @@
         assert!(Limit::try_from(invalid).is_err(), "{invalid}");
     }
 }
+
+#[test]
+fn the_lowest_limit_of_answers_and_health_page_is_in_force() {
+    let limited = |per_second| Statement::Limited(limit(per_second));
+    let mut statements = Statements::default();
+    statements.observe(Source::Answer, limited(5.0));
+    statements.observe(Source::HealthPage, Statement::Unlimited);
+    assert_eq!(statements.limit(), Some(limit(5.0)), "the page does not name limits");
+    statements.observe(Source::Answer, Statement::Unreadable);
+    assert_eq!(statements.limit(), Some(limit(5.0)));
+    statements.observe(Source::HealthPage, limited(0.0));
+    assert_eq!(statements.limit(), Some(limit(0.0)));
+    statements.observe(Source::HealthPage, Statement::Unlimited);
+    assert_eq!(statements.limit(), None, "the page has named the limit and no longer does");
+    statements.observe(Source::Answer, limited(5.0));
+    statements.observe(Source::Answer, Statement::Unlimited);
+    assert_eq!(statements.limit(), None);
+}
+
+/// A limit of zero that was learned from an answer never ended, because no further answer came
+/// and the health page had not named it.
+#[test]
+fn a_limit_that_only_answers_name_leaves_one_request_to_learn_of_its_end() {
+    let mut statements = Statements::default();
+    statements.observe(Source::Answer, Statement::Limited(limit(0.0)));
+    statements.observe(Source::HealthPage, Statement::Unlimited);
+    let in_force = statements.limit().expect("the answer's limit is in force");
+    assert_eq!(in_force.per_second() * WINDOW.as_secs_f64(), 1.0);
+}
--- a/crates/daemon/src/guard/rate_limit.rs
+++ b/crates/daemon/src/guard/rate_limit.rs
@@ -17,6 +17,7 @@
 /// The rate that the target accepts, compared with what it gets.
 #[derive(Debug, Default)]
 pub(super) struct RateObserver {
+    statements: rate::Statements,
     pub(super) limit: Option<rate::Limit>,
     /// Whether the target has stopped limiting the rate and the load is not yet published.
     pub(super) has_limit_ended: bool,
@@ -39,15 +40,12 @@
 
 impl Task {
     /// Applies what an answer of the target states about the rate that it accepts.
-    pub(super) fn observe_rate(&mut self, stated: rate::Statement) {
-        let limit = match stated {
-            rate::Statement::Unlimited => None,
-            rate::Statement::Limited(limit) => Some(limit),
-            rate::Statement::Unreadable => {
-                metrics::counter!("bronzeport_unreadable_rate_limits_total").increment(1);
-                return;
-            }
-        };
+    pub(super) fn observe_rate(&mut self, source: rate::Source, stated: rate::Statement) {
+        if stated == rate::Statement::Unreadable {
+            metrics::counter!("bronzeport_unreadable_rate_limits_total").increment(1);
+        }
+        self.rate_observer.statements.observe(source, stated);
+        let limit = self.rate_observer.statements.limit();
         if limit == self.rate_observer.limit {
             return;
         }
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -236,7 +236,7 @@
         }
         let is_own = |instance: &str| self.is_current_process(instance);
         if answer.instance.as_deref().is_none_or(is_own) {
-            self.apply_statements(&answer);
+            self.apply_statements(rate::Source::HealthPage, &answer);
         }
         self.observe_report(now, &answer);
         self.confirm_process();
@@ -266,8 +266,8 @@
     }
 
     /// Applies what an answer of the current target process states about the process.
-    pub(super) fn apply_statements(&mut self, answer: &TargetAnswer) {
-        self.observe_rate(answer.rate);
+    pub(super) fn apply_statements(&mut self, source: rate::Source, answer: &TargetAnswer) {
+        self.observe_rate(source, answer.rate);
         let Some(target) = self.target.as_ref().filter(|_| answer.is_leaving) else {
             return;
         };
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -7,7 +7,7 @@
 
 use admit::{
     AdmissionController, Class, Completion, Decision, HoldTracker, QueueAction, Refusal,
-    Registration, Ticket,
+    Registration, Ticket, rate,
 };
 use config::TargetSettings;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
@@ -360,7 +360,7 @@
         if answer.execution != ExecutionStatus::Misdirected
             && self.is_current_process(&job.instance)
         {
-            self.apply_statements(&answer);
+            self.apply_statements(rate::Source::Answer, &answer);
         }
         self.observe_report(now, &answer);
         match answer.execution {
--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -65,6 +65,8 @@
     states_leaving: Cell<bool>,
     /// Requests per second that the answers name as the accepted rate.
     rate_limit: Cell<Option<f64>>,
+    /// Whether the health page names the accepted rate too.
+    is_limit_on_page: Cell<bool>,
     random: RefCell<fastrand::Rng>,
 }
 
@@ -85,6 +87,7 @@
         is_leaving: Cell::new(false),
         states_leaving: Cell::new(false),
         rate_limit: Cell::new(None),
+        is_limit_on_page: Cell::new(true),
         random: RefCell::new(fastrand::Rng::with_seed(settings.seed)),
         settings,
     });
@@ -160,7 +163,11 @@
                 true => StatusCode::SERVICE_UNAVAILABLE,
                 false => StatusCode::OK,
             };
-            return self.answer(status, "", Bytes::new());
+            let mut response = self.answer(status, "", Bytes::new());
+            if !self.is_limit_on_page.get() {
+                response.headers_mut().remove("server-limit");
+            }
+            return response;
         }
         let header = |name: &str| {
             let value = head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -231,6 +238,9 @@
             self.rate_limit.set(limit.as_f64());
             print_line(&format!("limit {} {limit}", unix_millis()));
         }
+        if let Some(is_on_page) = value["limit_on_page"].as_bool() {
+            self.is_limit_on_page.set(is_on_page);
+        }
         if value["state_leaving"] == true {
             self.states_leaving.set(true);
         }
--- a/crates/lab/tests/rate.rs
+++ b/crates/lab/tests/rate.rs
@@ -47,6 +47,15 @@
     response.map_or(0, |response| response.status().as_u16())
 }
 
+/// Stops the callers on drop, also if a scenario panics.
+struct StopCallers<'a>(&'a AtomicBool);
+
+impl Drop for StopCallers<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Sends reads through all daemons, two callers each, while `scenario` runs.
 fn under_load<T>(mesh: &mut Mesh, scenario: impl FnOnce(&mut Mesh) -> T) -> T {
     let entries: Vec<SocketAddr> = (0..HOSTS).map(|host| mesh.callers(host)).collect();
@@ -64,9 +73,8 @@
                 }
             });
         }
-        let result = scenario(mesh);
-        is_over.store(true, Ordering::Relaxed);
-        result
+        let _stop = StopCallers(&is_over);
+        scenario(mesh)
     })
 }
 
@@ -107,6 +115,19 @@
     assert!(most <= ALLOWED, "{most} requests in 4 s, at most {ALLOWED} are allowed");
 }
 
+/// Issue 26: a health page that says nothing of the limit ended it, until the next answer to a
+/// request named it again.
+#[test]
+fn a_limit_that_only_answers_to_requests_name_is_kept() {
+    let mut mesh = mesh();
+    let behaviour = json!({ "rate_limit": LIMIT_PER_SECOND, "limit_on_page": false });
+    mesh.set_target_behaviour(LIMITED, &behaviour);
+    let bound_from = unix_millis() + SETTLE.as_millis() as u64;
+    under_load(&mut mesh, |_| std::thread::sleep(SETTLE + Duration::from_secs(5)));
+    let most = most_in_window(&run_times(&mesh), bound_from);
+    assert!(most <= ALLOWED, "{most} requests in 4 s, at most {ALLOWED} are allowed");
+}
+
 /// Issue 26: a target that accepts any rate again must not stay limited.
 #[test]
 fn a_target_that_no_longer_names_a_limit_gets_requests_as_before() {
