--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -219,7 +219,9 @@
                 return QueueAction::Expire(ticket);
             }
         }
-        if self.pacer.is_some()
+        // A new or lower limit also delays requests that already wait.
+        if self.discipline == Discipline::Deadline
+            && self.pacer.is_some()
             && let Some(ticket) = self.find_displaced(now)
         {
             self.queue.remove(ticket);
@@ -252,8 +254,8 @@
         }
     }
 
-    /// Sets the rate that the target accepts; `None` if it accepts any. Applies to the
-    /// current target process.
+    /// Sets the rate that the target accepts; `None` if it accepts any. A reset for a
+    /// different process ends the limit.
     pub fn set_rate_limit(&mut self, now: Instant, limit: Option<Limit>) {
         match (limit, &mut self.pacer) {
             (None, _) => self.pacer = None,
--- a/crates/admit/src/rate.rs
+++ b/crates/admit/src/rate.rs
@@ -128,14 +128,14 @@
     /// Number of requests that could start at `credited_at`.
     credit: f64,
     credited_at: Instant,
-    /// End of the time that is shared out among the entries.
-    shared_until: Instant,
+    /// End of the shares of the limit that are reserved for entries.
+    reserved_until: Instant,
 }
 
 impl Pacer {
     /// Creates a pacer without credit: what the target got before is not known.
     pub(crate) fn new(now: Instant, limit: Limit) -> Self {
-        Self { limit, credit: 0.0, credited_at: now, shared_until: now }
+        Self { limit, credit: 0.0, credited_at: now, reserved_until: now }
     }
 
     /// Replaces the limit. Credit that the new limit would not have given is dropped.
@@ -165,13 +165,13 @@
     pub(crate) fn record_arrival(&mut self, now: Instant) {
         let share = seconds(1.0 / (self.limit.per_second() * OVERBOOKING), MAX_PERIOD);
         let earliest = now + self.delay(now, 1);
-        self.shared_until = (self.shared_until + share).max(earliest).min(now + MAX_PERIOD);
+        self.reserved_until = (self.reserved_until + share).max(earliest).min(now + MAX_PERIOD);
     }
 
     /// Time that an entry leaves between two requests: until then, the limit is shared out
     /// among those that have arrived.
     pub(crate) fn period(&self, now: Instant) -> Duration {
-        self.shared_until.saturating_duration_since(now)
+        self.reserved_until.saturating_duration_since(now)
     }
 
     fn credit(&self, now: Instant) -> f64 {
