Guard: statements of a target survive a change of its limit

Found when the change was read once more: when the limit in force changed, what the target had stated was forgotten with the rest of the observer, so that a health page that leaves the limit out could end one until the second answer. The limit is now derived from the statements alone, and these are kept.

--- a/crates/daemon/src/guard/rate_limit.rs
+++ b/crates/daemon/src/guard/rate_limit.rs
@@ -18,7 +18,6 @@
 #[derive(Debug, Default)]
 pub(super) struct RateObserver {
     statements: rate::Statements,
-    pub(super) limit: Option<rate::Limit>,
     /// Whether the target has stopped limiting the rate and the load is not yet published.
     pub(super) has_limit_ended: bool,
     meter: rate::Meter,
@@ -29,11 +28,16 @@
 }
 
 impl RateObserver {
+    /// The limit in force; `None` if the target accepts any rate.
+    pub(super) fn limit(&self) -> Option<rate::Limit> {
+        self.statements.limit()
+    }
+
     /// Interval between health checks of a reachable target: it gets no more of them than it
     /// accepts requests, but enough of them to notice that its limit has ended.
     pub(super) fn check_interval(&self) -> Duration {
         let interval = |limit: rate::Limit| Duration::try_from_secs_f64(1.0 / limit.per_second());
-        let interval = self.limit.map(|limit| interval(limit).unwrap_or(Duration::MAX));
+        let interval = self.limit().map(|limit| interval(limit).unwrap_or(Duration::MAX));
         interval.map_or(Duration::ZERO, |interval| interval.min(MAX_CHECK_INTERVAL))
     }
 }
@@ -44,14 +48,18 @@
         if stated == rate::Statement::Unreadable {
             metrics::counter!("bronzeport_unreadable_rate_limits_total").increment(1);
         }
+        let previous = self.rate_observer.limit();
         self.rate_observer.statements.observe(source, stated);
-        let limit = self.rate_observer.statements.limit();
-        if limit == self.rate_observer.limit {
+        let limit = self.rate_observer.limit();
+        if limit == previous {
             return;
         }
         // Requests sent under the earlier limit are not compared with the new one.
-        self.rate_observer =
-            RateObserver { limit, has_limit_ended: limit.is_none(), ..RateObserver::default() };
+        self.rate_observer = RateObserver {
+            statements: std::mem::take(&mut self.rate_observer.statements),
+            has_limit_ended: limit.is_none(),
+            ..RateObserver::default()
+        };
         self.controller.set_rate_limit(self.now(), limit);
         match limit {
             Some(limit) => log::info!(
@@ -84,7 +92,7 @@
         metrics::counter!("bronzeport_guard_started_total").increment(1);
         let observer = &mut self.rate_observer;
         observer.meter.record(now, entry);
-        let Some(limit) = observer.limit else {
+        let Some(limit) = observer.limit() else {
             return;
         };
         let count = observer.meter.count(now);
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -83,7 +83,7 @@
             report_age_ms: self
                 .pace_report
                 .map_or(0, |report| (self.now() - report.at).as_millis() as u64),
-            rate_limit: self.rate_observer.limit.map(rate::Limit::per_second),
+            rate_limit: self.rate_observer.limit().map(rate::Limit::per_second),
         }
     }
 
@@ -172,7 +172,7 @@
         metrics::gauge!("bronzeport_guard_waiting").set(f64::from(load.queued));
         metrics::gauge!("bronzeport_guard_slots").set(f64::from(load.slots));
         metrics::gauge!("bronzeport_target_pace_percent").set(f64::from(load.pace));
-        let limit = self.rate_observer.limit.map_or(f64::INFINITY, rate::Limit::per_second);
+        let limit = self.rate_observer.limit().map_or(f64::INFINITY, rate::Limit::per_second);
         metrics::gauge!("bronzeport_target_rate_limit").set(limit);
         let health_path = self.find_target_settings().map(|settings| settings.health_path.clone());
         let interval = match (self.is_reachable, &health_path) {
