Store: the era of the store is read and shown; nothing acts on it yet

Log lines name a new era and a store that is behind the revision in force; bronzeport_store_era and bronzeport_store_restores_total.

--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -12,7 +12,7 @@
 use config::Revision;
 use error_stack::{Report, ResultExt};
 use serde_json::{Value, json};
-use store::{CommitResult, Condition, Failure, Row, Store, Write};
+use store::{Cell, CommitResult, Condition, Failure, Row, Store, Tag, Write};
 
 use crate::files::ServiceFile;
 
@@ -94,17 +94,18 @@
 pub struct Head {
     /// The newest revision; 0 before the first publication.
     pub revision: Revision,
-    condition: Condition,
+    tag: Tag,
 }
 
 /// Reads the head of the configuration.
 pub async fn read_head(store: &Store) -> Result<Head, Report<Failure>> {
-    let Some(row) = store.read(HEAD_KEY).await.map_err(Report::new)? else {
-        return Ok(Head { revision: 0, condition: Condition::Absent });
+    let Cell { tag, value } = store.read_cell(HEAD_KEY).await.map_err(Report::new)?;
+    let Some(text) = value else {
+        return Ok(Head { revision: 0, tag });
     };
-    let value: Value = serde_json::from_str(&row.value).change_context(Failure::Garbled)?;
+    let value: Value = serde_json::from_str(&text).change_context(Failure::Garbled)?;
     let revision = value["revision"].as_u64().ok_or_else(|| Report::new(Failure::Garbled))?;
-    Ok(Head { revision, condition: Condition::Tag(row.tag) })
+    Ok(Head { revision, tag })
 }
 
 /// Maximum size of a row in the store, in bytes. A log entry is one row and holds all
@@ -176,7 +177,7 @@
     let mut writes = vec![
         Write {
             key: HEAD_KEY.into(),
-            condition: head.condition.clone(),
+            condition: Condition::Tag(head.tag),
             value: json!({ "revision": revision }).to_string().into(),
         },
         Write {
--- a/crates/config/src/active.rs
+++ b/crates/config/src/active.rs
@@ -31,7 +31,10 @@
     /// The changes were installed; this is now the revision in force.
     Installed(Revision),
     /// This revision or a newer one is already in force; nothing was installed.
-    Stale,
+    Stale {
+        /// The revision that was not installed.
+        revision: Revision,
+    },
     /// A change is not valid; nothing was installed.
     Invalid,
 }
@@ -123,7 +126,7 @@
     /// the revision in force and `to`.
     pub fn install(&mut self, to: Revision, changes: Vec<Change>) -> InstallResult {
         if to <= self.revision {
-            return InstallResult::Stale;
+            return InstallResult::Stale { revision: to };
         }
         let mut entries = Vec::with_capacity(changes.len());
         for change in changes {
@@ -147,7 +150,7 @@
         let table = read(&body)?;
         let revision = table.revision;
         if revision <= self.revision {
-            return Ok(InstallResult::Stale);
+            return Ok(InstallResult::Stale { revision });
         }
         let change = Change { revision, service: ROUTE_TABLE_KEY.into(), body };
         self.insert_if_newer(Entry { change, content: Content::RouteTable(Rc::new(table)) });
--- a/crates/config/tests/book.rs
+++ b/crates/config/tests/book.rs
@@ -33,7 +33,10 @@
     let mut config = ActiveConfig::with_route_table(read_table);
     assert_eq!(config.install_route_table("7".into()).ok(), Some(InstallResult::Installed(7)));
     assert_eq!(READS.get(), 1);
-    assert_eq!(config.install_route_table("5".into()).ok(), Some(InstallResult::Stale));
+    assert_eq!(
+        config.install_route_table("5".into()).ok(),
+        Some(InstallResult::Stale { revision: 5 })
+    );
     assert!(config.install_route_table("x".into()).is_err());
     assert_eq!(config.route_table().map(|table| table.revision), Some(7));
     let (revision, changes) = config.changes_since(0, usize::MAX);
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -56,7 +56,7 @@
     let mut config = ActiveConfig::default();
     let first = change(1, "booking-desk", BOOKING);
     assert_eq!(config.install(1, vec![first.clone()]), InstallResult::Installed(1));
-    assert_eq!(config.install(1, vec![first]), InstallResult::Stale);
+    assert_eq!(config.install(1, vec![first]), InstallResult::Stale { revision: 1 });
     let broken = change(2, "booking-desk", "service = 1");
     assert_eq!(config.install(2, vec![broken]), InstallResult::Invalid);
     assert_eq!(config.revision(), 1);
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -5,7 +5,7 @@
 
 use kernel::{Kernel, Mailbox};
 use once::{ClaimDecision, Nonce, Row, State, WriteResult, decide_claim};
-use store::{CommitResult, Condition, Failure, Write};
+use store::{Cell, CommitResult, Condition, Failure, Tag, Write};
 
 use crate::{names, storage};
 
@@ -19,9 +19,10 @@
 /// A row as it was read, with its tag.
 #[derive(Debug, Clone)]
 pub(crate) struct TaggedRow {
-    /// Version tag, which changes with each write of the row.
-    pub(crate) tag: Box<str>,
-    pub(crate) row: Row,
+    /// Tag of the row or of its absence, which changes with each write of the row.
+    pub(crate) tag: Tag,
+    /// The row; `None` if it does not exist.
+    pub(crate) row: Option<Row>,
 }
 
 /// The result of an attempt to claim a request.
@@ -29,7 +30,7 @@
 pub(crate) struct ClaimResult {
     pub(crate) decision: ClaimDecision,
     /// Tag of the claimed row, if the claim was won.
-    pub(crate) tag: Box<str>,
+    pub(crate) tag: Option<Tag>,
 }
 
 /// Reads and writes the rows of request ids.
@@ -44,16 +45,14 @@
         Self { kernel: kernel.clone(), store: kernel.service(names::STORE) }
     }
 
-    /// Reads the row of a request id; `None` if there is no row.
-    pub(crate) async fn read(&self, service: &str, id: &str) -> Result<Option<TaggedRow>, Failure> {
+    /// Reads the row of a request id.
+    pub(crate) async fn read(&self, service: &str, id: &str) -> Result<TaggedRow, Failure> {
         let key = row_key(service, id);
         let message = |reply| storage::Message::Read { key, reply };
-        let row = self.store.request(message).await.unwrap_or(Err(Failure::Down))?;
-        let Some(row) = row else {
-            return Ok(None);
-        };
-        let parsed = Row::try_from(&*row.value).map_err(|_| Failure::Garbled)?;
-        Ok(Some(TaggedRow { tag: row.tag, row: parsed }))
+        let Cell { tag, value } =
+            self.store.request(message).await.unwrap_or(Err(Failure::Down))?;
+        let row = value.map(|text| Row::try_from(&*text)).transpose();
+        Ok(TaggedRow { tag, row: row.map_err(|_| Failure::Garbled)? })
     }
 
     /// Writes a claim if the row still has the tag that was read when the request arrived.
@@ -62,23 +61,18 @@
         &self,
         service: &str,
         id: &str,
-        arrival_tag: &str,
+        arrival_tag: Tag,
         row: &Row,
     ) -> ClaimResult {
         let (write_result, tag) = self.write(service, id, arrival_tag, row).await;
-        if write_result == WriteResult::Done {
-            let decision = ClaimDecision::Run;
-            return ClaimResult { decision, tag };
-        }
-        if write_result == WriteResult::NotSent {
-            return ClaimResult { decision: ClaimDecision::NotSent, tag };
-        }
-        let current = self.read_back(service, id, row.nonce, write_result).await;
-        let tag = match &current {
-            Some(Some(current)) => current.tag.clone(),
-            _ => "".into(),
+        let read_back = match write_result {
+            WriteResult::Done | WriteResult::NotSent => None,
+            WriteResult::TagMismatch | WriteResult::Unknown => {
+                self.read_back(service, id, row.nonce, write_result).await
+            }
         };
-        let read_back = current.as_ref().map(|found| found.as_ref().map(|current| &current.row));
+        let tag = tag.or(read_back.as_ref().map(|current| current.tag));
+        let read_back = read_back.as_ref().map(|current| current.row.as_ref());
         let decision = decide_claim(write_result, read_back, row.fingerprint, row.nonce);
         ClaimResult { decision, tag }
     }
@@ -89,26 +83,27 @@
         &self,
         service: &str,
         id: &str,
-        tag: &str,
+        mut tag: Tag,
         fingerprint: u64,
         nonce: Nonce,
     ) -> bool {
         let row = Row { fingerprint, nonce, state: State::Refused };
-        let mut tag = Box::from(tag);
         for _ in 0..REFUSAL_ATTEMPTS {
-            let write_result = self.write(service, id, &tag, &row).await.0;
+            let write_result = self.write(service, id, tag, &row).await.0;
             match write_result {
                 WriteResult::Done => return true,
                 WriteResult::NotSent => return false,
                 WriteResult::TagMismatch | WriteResult::Unknown => {}
             }
             let current = self.read_back(service, id, nonce, write_result).await;
-            match current.flatten() {
-                Some(current) if current.row == row => return true,
+            match current.and_then(|current| Some((current.tag, current.row?))) {
+                Some((_, current)) if current == row => return true,
                 // Another copy was refused in the meantime. A copy that was sent after that
                 // may still be in flight and hold the tag of that refusal, so the tag must
                 // be replaced as well.
-                Some(current) if current.row.state == State::Refused => tag = current.tag,
+                Some((current_tag, current)) if current.state == State::Refused => {
+                    tag = current_tag;
+                }
                 _ => return false,
             }
         }
@@ -117,35 +112,29 @@
 
     /// Records that a request has ended. A failed write is ignored: the row then still
     /// names the node that holds the claim, and with it the answer.
-    pub(crate) async fn record_end(&self, service: &str, id: &str, tag: &str, row: &Row) {
+    pub(crate) async fn record_end(&self, service: &str, id: &str, tag: Tag, row: &Row) {
         let _ = self.write(service, id, tag, row).await;
     }
 
-    /// Writes a row if it still has this tag, or if it is absent and the tag is empty.
-    /// Returns the new tag, which is empty unless the write is done.
+    /// Writes a row if it still has this tag. Returns the new tag, if the write is done.
     async fn write(
         &self,
         service: &str,
         id: &str,
-        tag: &str,
+        tag: Tag,
         row: &Row,
-    ) -> (WriteResult, Box<str>) {
+    ) -> (WriteResult, Option<Tag>) {
         let write = Write {
             key: row_key(service, id),
-            condition: match tag {
-                "" => Condition::Absent,
-                tag => Condition::Tag(tag.into()),
-            },
+            condition: Condition::Tag(tag),
             value: row.to_text().into(),
         };
         let message = |reply| storage::Message::Commit { write, reply };
         match self.store.request(message).await {
-            Some(CommitResult::Done(tags)) => {
-                (WriteResult::Done, tags.into_iter().next().unwrap_or_default())
-            }
-            Some(CommitResult::Conflict(_)) => (WriteResult::TagMismatch, "".into()),
-            Some(CommitResult::NotSent(_)) => (WriteResult::NotSent, "".into()),
-            Some(CommitResult::Unknown) | None => (WriteResult::Unknown, "".into()),
+            Some(CommitResult::Done(tags)) => (WriteResult::Done, tags.into_iter().next()),
+            Some(CommitResult::Conflict(_)) => (WriteResult::TagMismatch, None),
+            Some(CommitResult::NotSent(_)) => (WriteResult::NotSent, None),
+            Some(CommitResult::Unknown) | None => (WriteResult::Unknown, None),
         }
     }
 
@@ -158,11 +147,11 @@
         id: &str,
         nonce: Nonce,
         write_result: WriteResult,
-    ) -> Option<Option<TaggedRow>> {
+    ) -> Option<TaggedRow> {
         let mut last = None;
         for _ in 0..READ_BACK_ATTEMPTS {
             if let Ok(current) = self.read(service, id).await {
-                let is_ours = current.as_ref().is_some_and(|s| s.row.nonce == nonce);
+                let is_ours = current.row.as_ref().is_some_and(|row| row.nonce == nonce);
                 let is_settled = write_result == WriteResult::TagMismatch || is_ours;
                 last = Some(current);
                 if is_settled {
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -14,7 +14,7 @@
 use config::{ActiveConfig, Change, InstallResult, PathRule, RequestLimits, Revision, Service};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use serde_json::Value;
-use store::{Failure, Row, Rows, Version};
+use store::{Cell, Failure, Position, Row, Rows};
 use wire::Changes;
 
 use crate::adapter::ProtocolAdapter;
@@ -153,6 +153,7 @@
         has_synced: false,
         confirmed_at: None,
         poll_interval: MIN_POLL_INTERVAL,
+        older_in_store: None,
     };
     kernel.start(task.run(inbox));
     let bootstrap_peers = bootstrap_peers.iter().map(|peer| peer.to_string().into()).collect();
@@ -179,6 +180,8 @@
     has_synced: bool,
     confirmed_at: Option<Instant>,
     poll_interval: Duration,
+    /// Revision of the store if it is older than the one in force, once this is logged.
+    older_in_store: Option<Revision>,
 }
 
 impl Task {
@@ -259,7 +262,7 @@
         }
         match self.active_config.install(changes.revision, changes.changes) {
             InstallResult::Installed(revision) => self.finish_install(revision),
-            InstallResult::Stale => {}
+            InstallResult::Stale { .. } => {}
             InstallResult::Invalid => {
                 log::warn!(
                     "revision {} does not pass the check and is not installed",
@@ -274,7 +277,10 @@
     fn install_table(&mut self, text: Box<str>) {
         match self.active_config.install_route_table(text) {
             Ok(InstallResult::Installed(revision)) => self.finish_install(revision),
-            Ok(InstallResult::Stale) => self.has_synced = true,
+            Ok(InstallResult::Stale { revision }) => {
+                self.log_older_revision(revision);
+                self.has_synced = true;
+            }
             // This daemon's interface does not use a route table.
             Ok(InstallResult::Invalid) => {}
             Err(findings) => {
@@ -284,6 +290,15 @@
         }
     }
 
+    /// Logs that the store has an older revision than the one in force.
+    fn log_older_revision(&mut self, in_store: Revision) {
+        let in_force = self.active_config.revision();
+        if in_store < in_force && self.older_in_store != Some(in_store) {
+            log::warn!("the store has revision {in_store}, but revision {in_force} is in force");
+        }
+        self.older_in_store = (in_store < in_force).then_some(in_store);
+    }
+
     fn finish_install(&mut self, revision: Revision) {
         self.has_synced |= self.uses_route_table;
         self.notify_services(revision);
@@ -309,6 +324,7 @@
         self.has_synced = true;
         match head {
             Ok(revision) if revision <= self.active_config.revision() => {
+                self.log_older_revision(revision);
                 self.confirmed_at = Some(self.kernel.clock().now());
             }
             // The missing changes are being read, or the read failed.
@@ -354,14 +370,14 @@
 ) {
     let table = row.split('/').next().unwrap_or(row);
     let started = kernel.clock().now();
-    let mut known_version = None;
+    let mut known_position = None;
     let mut must_read = join_within.is_zero();
     if !must_read {
         kernel.clock().sleep(join_within + MEMBERSHIP_SETTLE_TIME).await;
     }
     loop {
         let is_overdue =
-            known_version.is_none() && kernel.clock().now() - started > PEER_CONFIG_TIMEOUT;
+            known_position.is_none() && kernel.clock().now() - started > PEER_CONFIG_TIMEOUT;
         let should_read = must_read
             || is_feed_reader(&kernel).await
             || (is_overdue && !is_ready_for_calls(&mailbox).await);
@@ -370,10 +386,10 @@
             continue;
         }
         must_read = false;
-        let is_first_read = known_version.is_none();
-        match read_feed(&kernel, table, known_version).await {
+        let is_first_read = known_position.is_none();
+        match read_feed(&kernel, table, known_position).await {
             Ok(rows) => {
-                known_version = Some(rows.version);
+                known_position = Some(rows.position);
                 for row in rows.rows.into_iter().filter(|found| *found.key == *row) {
                     mailbox.send(Message::RouteTableRead { text: row.value });
                 }
@@ -385,7 +401,7 @@
             // Read the whole table again.
             Err(Failure::Compacted) => {
                 log::info!("the feed of {table} has lost its history and is read anew");
-                known_version = None;
+                known_position = None;
             }
             Err(failure) => {
                 log::debug!("cannot read the feed of {table}: {failure}");
@@ -411,15 +427,15 @@
     seniority.is_none_or(|own| own.earlier < FEED_READERS || own.gossip_age > MAX_GOSSIP_AGE)
 }
 
-/// Reads the whole table, or its changes after a known version.
+/// Reads the whole table, or its changes after a known position.
 async fn read_feed(
     kernel: &Kernel,
     table: &str,
-    known_version: Option<Version>,
+    known_position: Option<Position>,
 ) -> Result<Rows, Failure> {
     let store: Mailbox<storage::Message> = kernel.service(names::STORE);
     let table = table.into();
-    let read = match known_version {
+    let read = match known_position {
         None => {
             store
                 .request(|reply| storage::Message::ReadTable { table, limit: MAX_FEED_ROWS, reply })
@@ -479,14 +495,11 @@
 async fn read_head(kernel: &Kernel) -> Result<Revision, Failure> {
     let store: Mailbox<storage::Message> = kernel.service(names::STORE);
     let key = HEAD_KEY.into();
-    let row = store
+    let Cell { value, .. } = store
         .request(|reply| storage::Message::Read { key, reply })
         .await
         .unwrap_or(Err(Failure::Down))?;
-    match row {
-        None => Ok(0),
-        Some(row) => parse_number(&row.value, "revision").ok_or(Failure::Garbled),
-    }
+    value.map_or(Ok(0), |text| parse_number(&text, "revision").ok_or(Failure::Garbled))
 }
 
 /// Reads the changes from `revision` to `head` from the store and installs them.
--- a/crates/daemon/src/configuration/tests.rs
+++ b/crates/daemon/src/configuration/tests.rs
@@ -45,6 +45,7 @@
         has_synced: false,
         confirmed_at: None,
         poll_interval: MIN_POLL_INTERVAL,
+        older_in_store: None,
     }
 }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -10,13 +10,14 @@
 use hyper::http::request::Parts;
 use kernel::{Clock, Expired, Kernel, Mailbox};
 use route::{Node, TrafficSplits};
+use store::Tag;
 use web::{BodyError, IncomingRequest, PipelinePosition};
 use wire::{Answer, Outcome, Reason};
 
 use crate::adapter::{Destination, FinalAnswer, ProtocolAdapter, Refused, RequestHead};
 use crate::attempt::Dispatcher;
 use crate::call::{Call, RequestSettings, refused};
-use crate::claims::Claims;
+use crate::claims::{Claims, TaggedRow};
 use crate::configuration::{Lookup, MatchedPath};
 use crate::journal::{self, Event};
 use crate::{configuration, guard, names, router};
@@ -274,8 +275,7 @@
                 ..Answer::refusal(Outcome::Unknown, Reason::StoreDown, self.node)
             };
         };
-        let row = tagged_row.as_ref().map(|tagged_row| &tagged_row.row);
-        match once::decide_arrival(row, call.fingerprint) {
+        match once::decide_arrival(tagged_row.row.as_ref(), call.fingerprint) {
             once::ArrivalDecision::Conflict => {
                 Answer::refusal(Outcome::Unknown, Reason::Conflict, self.node)
             }
@@ -286,8 +286,8 @@
                 self.recall(call, deadline, node, ended).await
             }
             once::ArrivalDecision::Proceed => {
-                let tag = tagged_row.map(|tagged_row| tagged_row.tag).unwrap_or_default();
-                let answer = self.dispatcher.dispatch(call, deadline, &tag).await;
+                let tag = tagged_row.tag;
+                let answer = self.dispatcher.dispatch(call, deadline, &tag.to_string()).await;
                 match answer.reason {
                     Reason::InProgress if answer.node != self.node => {
                         self.recall(call, deadline, answer.node, None).await
@@ -295,7 +295,7 @@
                     // The guard has already replaced its claim by a refusal, or has reported
                     // the outcome as unknown because that failed.
                     Reason::RefusedBefore => answer,
-                    _ => self.confirm_not_run(call, Some(&tag), answer).await,
+                    _ => self.confirm_not_run(call, Some(tag), answer).await,
                 }
             }
         }
@@ -321,25 +321,25 @@
     /// Confirms the outcome `not-run` of a request that may not be repeated. Earlier copies
     /// of the request may still be in flight, so a refusal is written to its row, which keeps
     /// them from claiming it. If this is not possible, the outcome becomes `unknown`.
-    async fn confirm_not_run(&self, call: &Call, tag: Option<&str>, answer: Answer) -> Answer {
+    async fn confirm_not_run(&self, call: &Call, tag: Option<Tag>, answer: Answer) -> Answer {
         if !call.requires_claim() || answer.outcome != Outcome::NotRun {
             return answer;
         }
         let tag = match tag {
-            Some(tag) => Some(tag.into()),
+            Some(tag) => Some(tag),
             None => match self.claims.read(&call.service, &call.id).await {
-                Ok(None) => Some(Box::from("")),
-                Ok(Some(tagged_row)) if tagged_row.row.state == once::State::Refused => {
+                Ok(TaggedRow { tag, row: None }) => Some(tag),
+                Ok(TaggedRow { row: Some(row), .. }) if row.state == once::State::Refused => {
                     return answer;
                 }
-                _ => None,
+                Ok(_) | Err(_) => None,
             },
         };
         let is_confirmed = match tag {
             Some(tag) => {
                 let nonce = fastrand::u64(..);
                 let Call { service, id, .. } = call;
-                self.claims.refuse(service, id, &tag, call.fingerprint, nonce).await
+                self.claims.refuse(service, id, tag, call.fingerprint, nonce).await
             }
             None => false,
         };
--- a/crates/daemon/src/guard/duplicates.rs
+++ b/crates/daemon/src/guard/duplicates.rs
@@ -4,7 +4,7 @@
 
 use admit::Ticket;
 use once::{ClaimDecision, Execution, Lookup, State};
-use wire::{Answer, Outcome, Reason};
+use wire::{Answer, Outcome, Reason, Request};
 
 use super::Message;
 use super::job::{Job, Stage};
@@ -55,8 +55,13 @@
         let (claims, mailbox) = (self.claims.clone(), self.mailbox.clone());
         job.stage = Stage::Claiming;
         job._task = Some(self.kernel.spawn(async move {
-            let tag = &request.claim_tag;
-            let result = claims.claim(&request.service, &request.id, tag, &row).await;
+            let result = match request.claim_tag.parse() {
+                Ok(tag) => claims.claim(&request.service, &request.id, tag, &row).await,
+                Err(error) => {
+                    log::warn!("the tag {:?} of a request is invalid: {error}", request.claim_tag);
+                    ClaimResult { decision: ClaimDecision::NotSent, tag: None }
+                }
+            };
             mailbox.send(Message::ClaimEnded { ticket, result });
         }));
         self.jobs.insert(ticket, job);
@@ -103,17 +108,17 @@
         let guard_state = self.guard_state();
         self.record_event(&id, Event::Refused { reason, retry_after_ms: after, guard_state });
         let refusal = self.refusal(Outcome::NotRun, reason, after);
-        if !job.holds_claim() {
+        let Some(tag) = job.claim_tag else {
             job.answer(refusal);
             return;
-        }
+        };
         self.duplicate_cache.remove(&id);
         let duplicates = self.waiting_duplicates.remove(&id).unwrap_or_default();
         let claims = self.claims.clone();
         self.kernel.start(async move {
             let request = job.request.clone();
-            let (service, tag) = (&request.service, &job.claim_tag);
-            let is_certain = claims.refuse(service, &id, tag, request.fingerprint, job.nonce).await;
+            let Request { service, fingerprint, .. } = &*request;
+            let is_certain = claims.refuse(service, &id, tag, *fingerprint, job.nonce).await;
             let mut refusal = refusal;
             refusal.reason = Reason::RefusedBefore;
             if !is_certain {
@@ -128,14 +133,13 @@
 
     /// Records in the store that a request has ended. The answer does not wait for it.
     pub(super) fn record_end(&self, job: &Job, outcome: Outcome, status: u16) {
-        if outcome != Outcome::Ran {
+        let Some(tag) = job.claim_tag.filter(|_| outcome == Outcome::Ran) else {
             return;
-        }
+        };
         let row = job.row(State::Ended { node: self.node, status });
-        let (claims, request, tag) =
-            (self.claims.clone(), job.request.clone(), job.claim_tag.clone());
+        let (claims, request) = (self.claims.clone(), job.request.clone());
         self.kernel.start(async move {
-            claims.record_end(&request.service, &request.id, &tag, &row).await;
+            claims.record_end(&request.service, &request.id, tag, &row).await;
         });
     }
 
--- a/crates/daemon/src/guard/job.rs
+++ b/crates/daemon/src/guard/job.rs
@@ -5,6 +5,7 @@
 
 use kernel::Reply;
 use once::{Row, State};
+use store::Tag;
 use wire::{Answer, Request};
 
 /// A request that the guard is processing.
@@ -16,8 +17,8 @@
     /// Where the answer goes; `None` once it has been sent or the entry has cancelled.
     pub(super) reply: Option<Reply<Answer>>,
     pub(super) stage: Stage,
-    /// Tag of the claimed row; empty if the request holds no claim.
-    pub(super) claim_tag: Box<str>,
+    /// Tag of the claimed row; `None` if the request holds no claim.
+    pub(super) claim_tag: Option<Tag>,
     /// Distinguishes the claim of this copy from the claims of other copies.
     pub(super) nonce: u64,
     /// Pace of the target when the request was sent to it.
@@ -50,7 +51,7 @@
 
     /// Whether this copy of the request has claimed the row in the store.
     pub(super) fn holds_claim(&self) -> bool {
-        !self.claim_tag.is_empty()
+        self.claim_tag.is_some()
     }
 
     /// The row of the request in the given state.
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -176,7 +176,7 @@
             soft_deadline: now + request.target_latency.min(request.remaining),
             reply: Some(reply),
             stage: Stage::Waiting,
-            claim_tag: "".into(),
+            claim_tag: None,
             nonce: fastrand::u64(..),
             pace_at_start: 0,
             in_flight_at_start: 0,
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -1,10 +1,13 @@
 //! Service that calls the platform's store, rate-limited to this daemon's share of the
 //! fleet's budgets.
 
+use std::future::Future;
 use std::time::{Duration, Instant};
 
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use store::{Batch, CommitResult, Failure, Row, Rows, Store, Version, Write, commit_each};
+use store::{
+    Batch, Cell, CommitResult, Era, Failure, Position, Row, Rows, Store, Write, commit_each,
+};
 
 use crate::names;
 
@@ -18,7 +21,7 @@
 #[derive(Debug)]
 pub(crate) enum Message {
     /// Reads a row.
-    Read { key: Box<str>, reply: Reply<Result<Option<Row>, Failure>> },
+    Read { key: Box<str>, reply: Reply<Result<Cell, Failure>> },
     /// Lists the rows with a key prefix, starting after a key.
     List {
         prefix: Box<str>,
@@ -28,12 +31,14 @@
     },
     /// Reads all rows of a small table.
     ReadTable { table: Box<str>, limit: usize, reply: Reply<Result<Rows, Failure>> },
-    /// Waits for changes to a table after a version.
-    Feed { table: Box<str>, after: Version, wait: Duration, reply: Reply<Result<Rows, Failure>> },
+    /// Waits for changes to a table after a position.
+    Feed { table: Box<str>, after: Position, wait: Duration, reply: Reply<Result<Rows, Failure>> },
     /// Writes a row. The write may share a transaction with other writes.
     Commit { write: Write, reply: Reply<CommitResult> },
     /// The transaction in flight has ended.
     BatchFinished,
+    /// A response of the store has begun a new era.
+    EraChanged(Era),
     /// The number of members in the fleet has changed to this value.
     MemberCount(usize),
     /// Returns whether the platform is considered down.
@@ -52,6 +57,7 @@
         is_committing: false,
         reads: TokenBucket::new(now, FLEET_READS_PER_SECOND),
         writes: TokenBucket::new(now, FLEET_WRITES_PER_SECOND),
+        era: None,
     };
     kernel.start(task.run(inbox));
 }
@@ -64,6 +70,8 @@
     is_committing: bool,
     reads: TokenBucket,
     writes: TokenBucket,
+    /// The latest era of the store's responses.
+    era: Option<Era>,
 }
 
 impl Task {
@@ -77,7 +85,9 @@
         let now = self.kernel.clock().now();
         match message {
             Message::Read { key, reply } => {
-                self.read(now, "read", reply, async move |store: Store| store.read(&key).await);
+                self.read(now, "read", reply, async move |store: Store| {
+                    store.read_cell(&key).await
+                });
             }
             Message::List { prefix, after, limit, reply } => {
                 let operation = async move |store: Store| store.list(&prefix, &after, limit).await;
@@ -96,6 +106,7 @@
                 self.is_committing = false;
                 self.send_batch();
             }
+            Message::EraChanged(era) => self.observe_era(era),
             Message::MemberCount(count) => {
                 self.reads.set_share(FLEET_READS_PER_SECOND, count);
                 self.writes.set_share(FLEET_WRITES_PER_SECOND, count);
@@ -116,9 +127,13 @@
         operation: impl AsyncFnOnce(Store) -> Result<T, Failure> + 'static,
     ) {
         match self.start_read(now) {
-            Ok(store) => self.kernel.start(async move {
-                reply.send(count_read(kind, operation(store).await));
-            }),
+            Ok(store) => {
+                let mailbox = self.mailbox.clone();
+                self.kernel.start(async move {
+                    let result = watch_era(&store, &mailbox, operation(store.clone())).await;
+                    reply.send(count_read(kind, result));
+                });
+            }
             Err(failure) => drop(reply.send(Err(failure))),
         }
     }
@@ -133,6 +148,14 @@
         Ok(store)
     }
 
+    fn observe_era(&mut self, era: Era) {
+        if self.era.is_some_and(|known| era > known) {
+            metrics::counter!("bronzeport_store_restores_total").increment(1);
+        }
+        self.era = self.era.max(Some(era));
+        metrics::gauge!("bronzeport_store_era").set(era as f64);
+    }
+
     fn commit(&mut self, now: Instant, write: Write, reply: Reply<CommitResult>) {
         if self.store.as_ref().is_none_or(Store::is_down) && self.is_committing {
             reply.send(CommitResult::NotSent(Failure::Down));
@@ -163,7 +186,8 @@
         self.is_committing = true;
         let mailbox = self.mailbox.clone();
         self.kernel.start(async move {
-            for (_, reply, commit) in commit_each(&store, writes).await {
+            let commits = watch_era(&store, &mailbox, commit_each(&store, writes)).await;
+            for (_, reply, commit) in commits {
                 count_call("write", commit_label(&commit));
                 reply.send(commit);
             }
@@ -172,6 +196,20 @@
     }
 }
 
+/// Runs a call to the store and reports a new era to the service.
+async fn watch_era<T>(
+    store: &Store,
+    mailbox: &Mailbox<Message>,
+    operation: impl Future<Output = T>,
+) -> T {
+    let era_before = store.era();
+    let result = operation.await;
+    if let Some(era) = store.era().filter(|era| Some(*era) != era_before) {
+        mailbox.send(Message::EraChanged(era));
+    }
+    result
+}
+
 /// Increments the call counter for a read and returns the unchanged result.
 fn count_read<T>(kind: &'static str, result: Result<T, Failure>) -> Result<T, Failure> {
     let label = match &result {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,6 +1,6 @@
 //! The store client and the results of its calls.
 
-use std::cell::RefCell;
+use std::cell::{self, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use web::{Client, ClientError, Reuse};
 
 use crate::circuit::CircuitBreaker;
-use crate::row::{Row, Rows, StoreProtocol, Version, Write};
+use crate::row::{Cell, Era, Position, Row, Rows, StoreProtocol, Tag, Write};
 
 /// Maximum size of a response, enough for a full page of a list.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
@@ -52,7 +52,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommitResult {
     /// All rows are written. The tags are in the order of the writes.
-    Done(Vec<Box<str>>),
+    Done(Vec<Tag>),
     /// Nothing is written. The conditions of the writes with these indices did not
     /// hold.
     Conflict(Vec<usize>),
@@ -72,6 +72,15 @@
     timeout: Duration,
     protocol: StoreProtocol,
     circuit: Rc<RefCell<CircuitBreaker>>,
+    /// The latest era of the responses; `None` before the first one.
+    era: Rc<cell::Cell<Option<Era>>>,
+}
+
+/// A response and the era in which the store sent it.
+struct Response {
+    status: StatusCode,
+    body: Bytes,
+    era: Era,
 }
 
 impl Settings {
@@ -112,9 +121,15 @@
             timeout: settings.timeout,
             protocol: settings.protocol,
             circuit: Rc::default(),
+            era: Rc::default(),
         }
     }
 
+    /// Returns the latest era of the store's responses, or `None` before the first one.
+    pub fn era(&self) -> Option<Era> {
+        self.era.get()
+    }
+
     /// Whether the store counts as down, because the circuit breaker is open.
     pub fn is_down(&self) -> bool {
         self.circuit.borrow().is_open()
@@ -126,6 +141,14 @@
         Ok(rows.rows.into_iter().find(|row| *row.key == *key))
     }
 
+    /// Reads a row, or its absence, with its tag.
+    pub async fn read_cell(&self, key: &str) -> Result<Cell, Failure> {
+        let rows = self.rows((self.protocol.list)(key, key, 1), self.timeout).await?;
+        let absent = Cell { tag: Tag { era: rows.position.era, version: 0 }, value: None };
+        let row = rows.rows.into_iter().find(|row| *row.key == *key);
+        Ok(row.map_or(absent, |row| Cell { tag: row.tag, value: Some(row.value) }))
+    }
+
     /// Lists up to `limit` rows whose keys start with `prefix` and are greater than
     /// `after`, in the order of their keys.
     pub async fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, Failure> {
@@ -139,21 +162,27 @@
         self.rows((self.protocol.list)(&format!("{table}/"), "", limit), self.timeout).await
     }
 
-    /// Waits up to `wait` for changes of a table after the version `after`.
-    pub async fn feed(&self, table: &str, after: Version, wait: Duration) -> Result<Rows, Failure> {
-        let request = (self.protocol.feed)(table, after, wait);
+    /// Waits up to `wait` for changes of a table after the position `after`.
+    pub async fn feed(
+        &self,
+        table: &str,
+        after: Position,
+        wait: Duration,
+    ) -> Result<Rows, Failure> {
+        let request = (self.protocol.feed)(table, after.version, wait);
         self.rows(request, wait + FEED_SLACK.max(self.timeout)).await
     }
 
     /// Writes either all rows or none, in one transaction.
     pub async fn commit(&self, writes: Vec<Write>) -> CommitResult {
-        let (status, body) = match self.call((self.protocol.commit)(&writes), self.timeout).await {
-            Ok(response) => response,
-            Err(CallError::NotSent) => return CommitResult::NotSent(Failure::Down),
-            Err(CallError::Lost) => return CommitResult::Unknown,
-        };
+        let Response { status, body, era } =
+            match self.call((self.protocol.commit)(&writes), self.timeout).await {
+                Ok(response) => response,
+                Err(CallError::NotSent) => return CommitResult::NotSent(Failure::Down),
+                Err(CallError::Lost) => return CommitResult::Unknown,
+            };
         let result = match status {
-            StatusCode::OK => (self.protocol.parse_commit)(&body, &writes),
+            StatusCode::OK => (self.protocol.parse_commit)(&body, &writes, era),
             StatusCode::PRECONDITION_FAILED => (self.protocol.parse_conflict)(&body, &writes),
             status => failure_of(status).map(CommitResult::NotSent),
         };
@@ -166,12 +195,12 @@
     /// Reads an object. Returns `None` if the object does not exist.
     pub async fn read_object(&self, name: &str) -> Result<Option<Box<str>>, Failure> {
         match self.call((self.protocol.read_object)(name), self.timeout).await {
-            Ok((StatusCode::OK, body)) => {
+            Ok(Response { status: StatusCode::OK, body, .. }) => {
                 let text = std::str::from_utf8(&body).map_err(|_| Failure::Garbled)?;
                 Ok(Some(text.into()))
             }
-            Ok((StatusCode::NOT_FOUND, _)) => Ok(None),
-            Ok((status, _)) => Err(failure_of(status).unwrap_or(Failure::Garbled)),
+            Ok(Response { status: StatusCode::NOT_FOUND, .. }) => Ok(None),
+            Ok(Response { status, .. }) => Err(failure_of(status).unwrap_or(Failure::Garbled)),
             Err(_) => Err(Failure::Down),
         }
     }
@@ -179,22 +208,20 @@
     /// Writes an object. Returns `false` if it was not written or if this is unknown.
     pub async fn write_object(&self, name: &str, text: &str) -> bool {
         let request = (self.protocol.write_object)(name, text);
-        matches!(self.call(request, self.timeout).await, Ok((StatusCode::OK, _)))
+        let response = self.call(request, self.timeout).await;
+        matches!(response, Ok(Response { status: StatusCode::OK, .. }))
     }
 
     async fn rows(&self, request: Request<Bytes>, limit: Duration) -> Result<Rows, Failure> {
-        let (status, body) = self.call(request, limit).await.map_err(|_| Failure::Down)?;
+        let Response { status, body, era } =
+            self.call(request, limit).await.map_err(|_| Failure::Down)?;
         match status {
-            StatusCode::OK => (self.protocol.parse_rows)(&body).ok_or(Failure::Garbled),
+            StatusCode::OK => (self.protocol.parse_rows)(&body, era).ok_or(Failure::Garbled),
             status => Err(failure_of(status).unwrap_or(Failure::Garbled)),
         }
     }
 
-    async fn call(
-        &self,
-        request: Request<Bytes>,
-        limit: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    async fn call(&self, request: Request<Bytes>, limit: Duration) -> Result<Response, CallError> {
         let now = self.kernel.clock().now();
         if !self.circuit.borrow_mut().allows(now) {
             return Err(CallError::NotSent);
@@ -203,14 +230,15 @@
         // with an outstanding response cannot be reused.
         let sending = self.client.send(request, Reuse::Allowed);
         let result = match self.kernel.clock().timeout(limit, sending).await {
-            Ok(Ok(response)) => Ok((response.status(), response.into_body())),
+            Ok(Ok(response)) => Ok(self.receive(response)),
             Ok(Err(ClientError::NotSent)) => Err(CallError::NotSent),
             Ok(Err(
                 ClientError::ConnectionLost | ClientError::TooLarge | ClientError::MismatchedAnswer,
             ))
             | Err(_) => Err(CallError::Lost),
         };
-        let is_unavailable = matches!(result, Ok((StatusCode::SERVICE_UNAVAILABLE, _)));
+        let is_unavailable =
+            matches!(result, Ok(Response { status: StatusCode::SERVICE_UNAVAILABLE, .. }));
         let was_down = self.is_down();
         match result.is_ok() && !is_unavailable {
             true => self.circuit.borrow_mut().observe_success(),
@@ -224,6 +252,22 @@
         result
     }
 
+    /// Takes note of the era of a response.
+    fn receive(&self, response: hyper::Response<Bytes>) -> Response {
+        let known = self.era.get();
+        let era = (self.protocol.read_era)(response.headers()).or(known).unwrap_or_default();
+        match known {
+            Some(known) if era > known => log::warn!(
+                "the store has come back from an older copy: era {known} is followed by {era}, \
+                 and writes that it has acknowledged may be missing"
+            ),
+            Some(_) => {}
+            None => log::info!("the store is in era {era}"),
+        }
+        self.era.set(Some(era));
+        Response { status: response.status(), body: response.into_body(), era }
+    }
+
     fn observe_failure(&self) {
         let now = self.kernel.clock().now();
         self.circuit.borrow_mut().observe_failure(now, fastrand::f64());
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,11 @@
 //! Results distinguish a transaction that was not sent from one whose response was
 //! lost, since the latter may have been committed.
 //!
+//! The store may come back from an older copy, which begins a new [`Era`]. Versions and tags
+//! carry the era in which they were read, and those of an earlier era are never used in a
+//! later one. Rows that were written in an earlier era may be missing; whoever wrote them has
+//! to write them again.
+//!
 //! ```
 //! use bytes::Bytes;
 //! use hyper::Request;
@@ -18,8 +23,9 @@
 //!     commit: |_| Request::new(Bytes::new()),
 //!     read_object: get,
 //!     write_object: |_, _| Request::new(Bytes::new()),
-//!     parse_rows: |_| None,
-//!     parse_commit: |_, _| None,
+//!     read_era: |_| None,
+//!     parse_rows: |_, _| None,
+//!     parse_commit: |_, _, _| None,
 //!     parse_conflict: |_, _| None,
 //! };
 //! // Nothing listens on port 1, so the request is not sent.
@@ -37,4 +43,4 @@
 pub use batch::{Batch, commit_each};
 pub use circuit::CircuitBreaker;
 pub use client::{CommitResult, Failure, Settings, Store};
-pub use row::{Condition, Row, Rows, StoreProtocol, Version, Write};
+pub use row::{Cell, Condition, Era, Position, Row, Rows, StoreProtocol, Tag, Version, Write};
--- a/crates/store/src/row.rs
+++ b/crates/store/src/row.rs
@@ -1,26 +1,69 @@
 //! Rows, writes and the interface to a store's protocol.
 
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::Request;
+use hyper::{HeaderMap, Request};
 
 use crate::client::CommitResult;
 
 /// Version of the store, which increases with each transaction.
 pub type Version = u64;
 
+/// Number of the store's present copy. It increases each time that the store comes back
+/// from an older copy, which may lose acknowledged writes and issues their versions again.
+pub type Era = u64;
+
+/// A version of the store. Versions of different eras are not comparable.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Position {
+    /// Era in which the version was issued.
+    pub era: Era,
+    /// The version.
+    pub version: Version,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.version)
+    }
+}
+
+impl FromStr for Position {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (era, version) = text.split_once('.').unwrap_or(("", text));
+        Ok(Self { era: era.parse()?, version: version.parse()? })
+    }
+}
+
+/// State in which a row was read: the version that wrote it, or 0 if there was no row.
+pub type Tag = Position;
+
 /// A row of a table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
     /// Key of the row: the name of its table, a slash, and the key in that table.
     pub key: Box<str>,
     /// Tag of the row, which changes with each write.
-    pub tag: Box<str>,
+    pub tag: Tag,
     /// Text of the row.
     pub value: Box<str>,
 }
 
+/// Result of reading one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cell {
+    /// Tag of the row, or of its absence.
+    pub tag: Tag,
+    /// Text of the row; `None` if it does not exist.
+    pub value: Option<Box<str>>,
+}
+
 /// Rows read at one version of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Rows {
@@ -29,7 +72,7 @@
     /// In a feed, the keys of rows that were deleted.
     pub deleted: Vec<Box<str>>,
     /// The newest version of the store. The next feed continues after it.
-    pub version: Version,
+    pub position: Position,
 }
 
 /// The condition under which a write takes effect.
@@ -39,8 +82,9 @@
     Always,
     /// The row does not exist.
     Absent,
-    /// The row has this tag.
-    Tag(Box<str>),
+    /// The row is in the state that was read with this tag. This never holds in another
+    /// era than the tag's.
+    Tag(Tag),
 }
 
 /// One write of a transaction.
@@ -69,10 +113,12 @@
     pub read_object: fn(name: &str) -> Request<Bytes>,
     /// Builds the request that writes an object.
     pub write_object: fn(name: &str, text: &str) -> Request<Bytes>,
-    /// Parses the rows in the response to a list or a feed.
-    pub parse_rows: fn(body: &[u8]) -> Option<Rows>,
-    /// Parses the response to a transaction that was committed.
-    pub parse_commit: fn(body: &[u8], writes: &[Write]) -> Option<CommitResult>,
+    /// Reads the era from the headers of a response; `None` if they name none.
+    pub read_era: fn(headers: &HeaderMap) -> Option<Era>,
+    /// Parses the rows in the response to a list or a feed of this era.
+    pub parse_rows: fn(body: &[u8], era: Era) -> Option<Rows>,
+    /// Parses the response to a transaction that was committed in this era.
+    pub parse_commit: fn(body: &[u8], writes: &[Write], era: Era) -> Option<CommitResult>,
     /// Parses the response to a transaction some of whose conditions did not hold.
     pub parse_conflict: fn(body: &[u8], writes: &[Write]) -> Option<CommitResult>,
 }
