--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/standin.rs
@@ -22,6 +22,8 @@
     max_connections: 10_000,
 };
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Header of all responses with the number of the era.
+const ERA_HEADER: &str = "store-era";
 
 /// Faults that are active at present.
 #[derive(Debug, Clone, Copy)]
@@ -60,10 +62,9 @@
 /// Table name and key of a row.
 type RowKey = (String, String);
 
-/// State of the stand-in.
-#[derive(Debug)]
-pub struct Standin {
-    started: Instant,
+/// Rows and objects of the stand-in.
+#[derive(Debug, Clone, Default)]
+struct Content {
     /// Version of each row and its value in base64.
     rows: BTreeMap<RowKey, (u64, String)>,
     /// Changes in the order of their versions.
@@ -72,6 +73,17 @@
     compacted_version: u64,
     objects: BTreeMap<String, Bytes>,
     version: u64,
+}
+
+/// State of the stand-in.
+#[derive(Debug)]
+pub struct Standin {
+    started: Instant,
+    content: Content,
+    /// The copy that the next restore brings back; empty until one is taken.
+    copy: Content,
+    /// Number that increases with each restore.
+    era: u64,
     faults: Faults,
     random: fastrand::Rng,
     writes: TokenBucket,
@@ -120,8 +132,14 @@
 ) -> std::io::Result<web::ServerHandle> {
     let standin = Rc::new(RefCell::new(Standin::new(seed)));
     let handler_kernel = kernel.clone();
-    let handler: web::Handler =
-        Rc::new(move |request| Box::pin(handle(handler_kernel.clone(), standin.clone(), request)));
+    let handler: web::Handler = Rc::new(move |request| {
+        let (kernel, standin) = (handler_kernel.clone(), standin.clone());
+        Box::pin(async move {
+            let mut response = handle(kernel, standin.clone(), request).await;
+            response.headers_mut().insert(ERA_HEADER, standin.borrow().era.into());
+            response
+        })
+    });
     web::serve(kernel, listener, LIMITS, handler)
 }
 
@@ -180,11 +198,9 @@
         let new_bucket = || TokenBucket { tokens: 0.0, at: Instant::now(), count: 0 };
         Self {
             started: Instant::now(),
-            rows: BTreeMap::new(),
-            history: Vec::new(),
-            compacted_version: 0,
-            objects: BTreeMap::new(),
-            version: 0,
+            content: Content::default(),
+            copy: Content::default(),
+            era: 1,
             faults: Faults::default(),
             random: fastrand::Rng::with_seed(seed),
             writes: new_bucket(),
@@ -207,8 +223,15 @@
         faults.writes_per_second = number("writes_per_second").unwrap_or(faults.writes_per_second);
         faults.reads_per_second = number("reads_per_second").unwrap_or(faults.reads_per_second);
         if value["drop_history"] == true {
-            self.history.clear();
-            self.compacted_version = self.version;
+            self.content.history.clear();
+            self.content.compacted_version = self.content.version;
+        }
+        if value["copy"] == true {
+            self.copy = self.content.clone();
+        }
+        if value["restore"] == true {
+            self.content = self.copy.clone();
+            self.era += 1;
         }
     }
 
@@ -249,7 +272,7 @@
             (&Method::GET, "/api/rows-feed") => return self.feed(arrived, call),
             (&Method::GET, path) => {
                 let name = path.strip_prefix("/api/blob-get/").map(percent_decode);
-                match name.and_then(|name| self.objects.get(&name)) {
+                match name.and_then(|name| self.content.objects.get(&name)) {
                     Some(object) => Response::new(object.clone()),
                     None => json_response(404, json!({})),
                 }
@@ -264,7 +287,7 @@
         }
         match call.path.strip_prefix("/api/blob-put/") {
             Some(name) => {
-                self.objects.insert(percent_decode(name), call.body.clone());
+                self.content.objects.insert(percent_decode(name), call.body.clone());
                 json_response(200, json!({}))
             }
             None => json_response(404, json!({})),
@@ -282,6 +305,7 @@
         let in_range =
             |(key, _): &(&RowKey, _)| key.0 == table && end.as_ref().is_none_or(|end| key.1 < *end);
         let mut rows: Vec<Value> = self
+            .content
             .rows
             .range(first..)
             .take_while(in_range)
@@ -297,16 +321,17 @@
         let number = |name| call.query_parameter(name).and_then(|text| text.parse::<u64>().ok());
         let (table, after) = (call.query_parameter("table").unwrap_or_default(), number("after"));
         let after = after.unwrap_or(0);
-        if after < self.compacted_version {
+        let Content { history, rows, compacted_version, version, .. } = &self.content;
+        if after < *compacted_version || after > *version {
             return CallResult::Respond(json_response(410, self.with_version(json!({}))));
         }
-        let changes = self.history.iter().filter(|(ver, key)| *ver > after && key.0 == table);
+        let changes = history.iter().filter(|(ver, key)| *ver > after && key.0 == table);
         let latest: BTreeMap<&RowKey, u64> = changes.map(|(ver, key)| (key, *ver)).collect();
         if latest.is_empty() {
             let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
             return CallResult::Wait { until: arrived + wait };
         }
-        let rows = latest.into_keys().map(|key| row_json(key, self.rows.get(key)));
+        let rows = latest.into_keys().map(|key| row_json(key, rows.get(key)));
         CallResult::Respond(json_response(
             200,
             self.with_version(json!({ "rows": rows.collect::<Vec<_>>() })),
@@ -324,30 +349,32 @@
         if writes.is_empty() && deletes.is_empty() {
             return json_response(400, json!({}));
         }
-        let current_version = |row: &Value| self.rows.get(&row_key(row)).map_or(0, |(ver, _)| *ver);
+        let content = &mut self.content;
+        let current_version =
+            |row: &Value| content.rows.get(&row_key(row)).map_or(0, |(ver, _)| *ver);
         if expected.iter().any(|row| row["ver"].as_u64() != Some(current_version(row))) {
             let rows: Vec<Value> = expected
                 .iter()
                 .map(row_key)
-                .filter_map(|key| Some(row_json(&key, Some(self.rows.get(&key)?))))
+                .filter_map(|key| Some(row_json(&key, Some(content.rows.get(&key)?))))
                 .collect();
             return json_response(412, self.with_version(json!({ "rows": rows })));
         }
-        self.version += 1;
+        content.version += 1;
         for row in &writes {
             let value = row["value"].as_str().unwrap_or_default().to_owned();
-            self.rows.insert(row_key(row), (self.version, value));
-            self.history.push((self.version, row_key(row)));
+            content.rows.insert(row_key(row), (content.version, value));
+            content.history.push((content.version, row_key(row)));
         }
         for row in &deletes {
-            self.rows.remove(&row_key(row));
-            self.history.push((self.version, row_key(row)));
+            content.rows.remove(&row_key(row));
+            content.history.push((content.version, row_key(row)));
         }
         json_response(200, self.with_version(json!({})))
     }
 
     fn with_version(&self, mut body: Value) -> Value {
-        body["ver"] = self.version.into();
+        body["ver"] = self.content.version.into();
         body["now"] = format!("{}ms", self.started.elapsed().as_millis()).into();
         body
     }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -201,7 +201,7 @@
         let mixed = vec![write("k/3", absent.clone()), write("k/1", absent)];
         assert_eq!(store.commit(mixed).await, store::CommitResult::Conflict(vec![1]));
         assert_eq!(store.read("k/3").await, Ok(None), "a refused commit writes no row");
-        let tagged = store::Condition::Tag(tags[0].clone());
+        let tagged = store::Condition::Tag(tags[0]);
         assert!(matches!(
             store.commit(vec![write("k/1", tagged.clone())]).await,
             store::CommitResult::Done(_)
