Feed: a position of an earlier era is not continued

Callers could miss a change for up to 20 s, and for good where nothing else was written: a reader that came back after the restored store had issued the versions up to its cursor again got no 410 and was given only what came later.

A position now carries its era and fails with Compacted in another one, so that the table is read anew. After a failed call the feed does not wait, so that the era is known at once. A response that arrives from an earlier era counts as lost.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -371,6 +371,7 @@
     let table = row.split('/').next().unwrap_or(row);
     let started = kernel.clock().now();
     let mut known_position = None;
+    let mut wait = FEED_WAIT;
     let mut must_read = join_within.is_zero();
     if !must_read {
         kernel.clock().sleep(join_within + MEMBERSHIP_SETTLE_TIME).await;
@@ -387,8 +388,9 @@
         }
         must_read = false;
         let is_first_read = known_position.is_none();
-        match read_feed(&kernel, table, known_position).await {
+        match read_feed(&kernel, table, known_position, wait).await {
             Ok(rows) => {
+                wait = FEED_WAIT;
                 known_position = Some(rows.position);
                 for row in rows.rows.into_iter().filter(|found| *found.key == *row) {
                     mailbox.send(Message::RouteTableRead { text: row.value });
@@ -405,6 +407,9 @@
             }
             Err(failure) => {
                 log::debug!("cannot read the feed of {table}: {failure}");
+                // The store may have come back from an older copy. The next response tells, so
+                // it must not wait for a change.
+                wait = Duration::ZERO;
                 must_read = is_first_read && join_within.is_zero();
                 kernel.clock().sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             }
@@ -427,11 +432,12 @@
     seniority.is_none_or(|own| own.earlier < FEED_READERS || own.gossip_age > MAX_GOSSIP_AGE)
 }
 
-/// Reads the whole table, or its changes after a known position.
+/// Reads the whole table, or waits up to `wait` for its changes after a known position.
 async fn read_feed(
     kernel: &Kernel,
     table: &str,
     known_position: Option<Position>,
+    wait: Duration,
 ) -> Result<Rows, Failure> {
     let store: Mailbox<storage::Message> = kernel.service(names::STORE);
     let table = table.into();
@@ -442,7 +448,6 @@
                 .await
         }
         Some(after) => {
-            let wait = FEED_WAIT;
             store.request(|reply| storage::Message::Feed { table, after, wait, reply }).await
         }
     };
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -42,7 +42,8 @@
     Down,
     /// The store rejects calls because its rate limit is exceeded.
     Throttled,
-    /// The store no longer has the requested part of its history.
+    /// The store no longer has the requested part of its history, or has come back from an
+    /// older copy since the requested position was read.
     Compacted,
     /// The response is malformed.
     Garbled,
@@ -162,15 +163,24 @@
         self.rows((self.protocol.list)(&format!("{table}/"), "", limit), self.timeout).await
     }
 
-    /// Waits up to `wait` for changes of a table after the position `after`.
+    /// Waits up to `wait` for changes of a table after the position `after`. Fails with
+    /// [`Failure::Compacted`] if the store is in another era, since its versions may have
+    /// passed `after` again and hide changes.
     pub async fn feed(
         &self,
         table: &str,
         after: Position,
         wait: Duration,
     ) -> Result<Rows, Failure> {
+        if self.era().is_some_and(|era| era != after.era) {
+            return Err(Failure::Compacted);
+        }
         let request = (self.protocol.feed)(table, after.version, wait);
-        self.rows(request, wait + FEED_SLACK.max(self.timeout)).await
+        let rows = self.rows(request, wait + FEED_SLACK.max(self.timeout)).await?;
+        match rows.position.era == after.era {
+            true => Ok(rows),
+            false => Err(Failure::Compacted),
+        }
     }
 
     /// Writes either all rows or none, in one transaction.
@@ -230,7 +240,7 @@
         // with an outstanding response cannot be reused.
         let sending = self.client.send(request, Reuse::Allowed);
         let result = match self.kernel.clock().timeout(limit, sending).await {
-            Ok(Ok(response)) => Ok(self.receive(response)),
+            Ok(Ok(response)) => self.receive(response),
             Ok(Err(ClientError::NotSent)) => Err(CallError::NotSent),
             Ok(Err(
                 ClientError::ConnectionLost | ClientError::TooLarge | ClientError::MismatchedAnswer,
@@ -252,11 +262,16 @@
         result
     }
 
-    /// Takes note of the era of a response.
-    fn receive(&self, response: hyper::Response<Bytes>) -> Response {
+    /// Takes note of the era of a response. A response of an earlier era than the latest one
+    /// is no longer true and counts as lost.
+    fn receive(&self, response: hyper::Response<Bytes>) -> Result<Response, CallError> {
         let known = self.era.get();
         let era = (self.protocol.read_era)(response.headers()).or(known).unwrap_or_default();
         match known {
+            Some(known) if era < known => {
+                log::warn!("a response of the store is from era {era}, before era {known}");
+                return Err(CallError::Lost);
+            }
             Some(known) if era > known => log::warn!(
                 "the store has come back from an older copy: era {known} is followed by {era}, \
                  and writes that it has acknowledged may be missing"
@@ -265,7 +280,7 @@
             None => log::info!("the store is in era {era}"),
         }
         self.era.set(Some(era));
-        Response { status: response.status(), body: response.into_body(), era }
+        Ok(Response { status: response.status(), body: response.into_body(), era })
     }
 
     fn observe_failure(&self) {
