Tags: a condition read in an earlier era never holds

A restored store issues versions again, so that a tag from before can match a row that another writer has written. A claim, a refusal or a publication could then replace that row and count as done.

A tag carries its era. Where the new era is known, the condition fails without a call; where the response shows it, the result is Restored, which runs nothing and confirms nothing. What is read back in another era does not win a claim either.

--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -211,6 +211,7 @@
         match store.commit(writes.clone()).await {
             CommitResult::Done(_) => return Ok(PublishResult::Accepted { from, revision }),
             CommitResult::Conflict(_) => {}
+            CommitResult::Restored => return Err(Report::new(PublishError::Unknown)),
             CommitResult::Unknown => may_be_written = true,
             CommitResult::NotSent(_) => {}
         }
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -66,10 +66,13 @@
     ) -> ClaimResult {
         let (write_result, tag) = self.write(service, id, arrival_tag, row).await;
         let read_back = match write_result {
-            WriteResult::Done | WriteResult::NotSent => None,
-            WriteResult::TagMismatch | WriteResult::Unknown => {
-                self.read_back(service, id, row.nonce, write_result).await
-            }
+            WriteResult::Done | WriteResult::NotSent | WriteResult::Restored => None,
+            // A claim that has taken effect in another era proves nothing: the store may have
+            // lost the claim of another copy.
+            WriteResult::TagMismatch | WriteResult::Unknown => self
+                .read_back(service, id, row.nonce, write_result)
+                .await
+                .filter(|current| current.tag.era == arrival_tag.era),
         };
         let tag = tag.or(read_back.as_ref().map(|current| current.tag));
         let read_back = read_back.as_ref().map(|current| current.row.as_ref());
@@ -92,10 +95,11 @@
             let write_result = self.write(service, id, tag, &row).await.0;
             match write_result {
                 WriteResult::Done => return true,
-                WriteResult::NotSent => return false,
+                WriteResult::NotSent | WriteResult::Restored => return false,
                 WriteResult::TagMismatch | WriteResult::Unknown => {}
             }
             let current = self.read_back(service, id, nonce, write_result).await;
+            let current = current.filter(|current| current.tag.era == tag.era);
             match current.and_then(|current| Some((current.tag, current.row?))) {
                 Some((_, current)) if current == row => return true,
                 // Another copy was refused in the meantime. A copy that was sent after that
@@ -134,6 +138,7 @@
             Some(CommitResult::Done(tags)) => (WriteResult::Done, tags.into_iter().next()),
             Some(CommitResult::Conflict(_)) => (WriteResult::TagMismatch, None),
             Some(CommitResult::NotSent(_)) => (WriteResult::NotSent, None),
+            Some(CommitResult::Restored) => (WriteResult::Restored, None),
             Some(CommitResult::Unknown) | None => (WriteResult::Unknown, None),
         }
     }
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -228,6 +228,7 @@
         CommitResult::Done(_) => "ok",
         CommitResult::Conflict(_) => "conflict",
         CommitResult::NotSent(_) => "not-sent",
+        CommitResult::Restored => "restored",
         CommitResult::Unknown => "unknown",
     }
 }
--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -33,6 +33,9 @@
     Unknown,
     /// The write was never sent.
     NotSent,
+    /// The row is written, but the store has come back from an older copy since the row was
+    /// read, so that the expected tag may have belonged to another row.
+    Restored,
 }
 
 /// What a guard does after it has tried to claim a row.
@@ -79,6 +82,7 @@
     match (write_result, read_back) {
         (WriteResult::Done, _) => ClaimDecision::Run,
         (WriteResult::NotSent, _) => ClaimDecision::NotSent,
+        (WriteResult::Restored, _) => ClaimDecision::Undecided,
         (_, Some(Some(row))) => decide_by_row(row, fingerprint, nonce),
         // The write may still take effect. Its nonce is never used again, so that no copy
         // runs under the claim.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -12,7 +12,7 @@
 use web::{Client, ClientError, Reuse};
 
 use crate::circuit::CircuitBreaker;
-use crate::row::{Cell, Era, Position, Row, Rows, StoreProtocol, Tag, Write};
+use crate::row::{Cell, Condition, Era, Position, Row, Rows, StoreProtocol, Tag, Write};
 
 /// Maximum size of a response, enough for a full page of a list.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
@@ -57,6 +57,9 @@
     /// Nothing is written. The conditions of the writes with these indices did not
     /// hold.
     Conflict(Vec<usize>),
+    /// The store has come back from an older copy since a tag of the conditions was read.
+    /// The rows are written, possibly over rows that nobody here has read.
+    Restored,
     /// Nothing is written, for this reason.
     NotSent(Failure),
     /// The response was lost. The rows may have been written or may still be written
@@ -185,6 +188,12 @@
 
     /// Writes either all rows or none, in one transaction.
     pub async fn commit(&self, writes: Vec<Write>) -> CommitResult {
+        if let Some(era) = self.era() {
+            let outdated = tags_outside(&writes, era);
+            if !outdated.is_empty() {
+                return CommitResult::Conflict(outdated);
+            }
+        }
         let Response { status, body, era } =
             match self.call((self.protocol.commit)(&writes), self.timeout).await {
                 Ok(response) => response,
@@ -192,6 +201,9 @@
                 Err(CallError::Lost) => return CommitResult::Unknown,
             };
         let result = match status {
+            StatusCode::OK if !tags_outside(&writes, era).is_empty() => {
+                Some(CommitResult::Restored)
+            }
             StatusCode::OK => (self.protocol.parse_commit)(&body, &writes, era),
             StatusCode::PRECONDITION_FAILED => (self.protocol.parse_conflict)(&body, &writes),
             status => failure_of(status).map(CommitResult::NotSent),
@@ -289,6 +301,18 @@
     }
 }
 
+/// Returns the indices of the writes that are conditional on a tag of another era.
+fn tags_outside(writes: &[Write], era: Era) -> Vec<usize> {
+    let is_outside =
+        |write: &Write| matches!(write.condition, Condition::Tag(tag) if tag.era != era);
+    writes
+        .iter()
+        .enumerate()
+        .filter(|(_, write)| is_outside(write))
+        .map(|(index, _)| index)
+        .collect()
+}
+
 /// Returns the failure that a status stands for, or `None` for other statuses.
 fn failure_of(status: StatusCode) -> Option<Failure> {
     match status {
