Membership: contact rows are written again when the store has lost them

A daemon wrote its contact row once and renewed it after minutes at the earliest. After a restore from a copy without the rows, a new daemon found nobody in the table and stayed alone unless another knew its address from before.

The daemon that wrote a row knows it best, so it writes the row again as soon as its client sees a later era than that of the write. Nothing is called for this: the readers of the feed, who are contacts too, see the era in their next response.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -9,7 +9,7 @@
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::{Action, GossipQueue, Kind, Member, Members, State};
 use route::{Load, Node};
-use store::{Condition, Write};
+use store::{CommitResult, Condition, Era, Write};
 use tokio::net::UdpSocket;
 use wire::{Gossip, MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
 
@@ -434,7 +434,9 @@
     let bootstrap_peers: Vec<Box<str>> =
         bootstrap_peers.iter().map(|address| address.to_string().into()).collect();
     kernel.clock().sleep(join_within.mul_f64(fastrand::f64())).await;
-    let (mut pause, mut written_at) = (JOIN_PAUSE_MIN, None);
+    // Time at which this node's row was written, and the era of the store.
+    let mut written = None;
+    let mut pause = JOIN_PAUSE_MIN;
     loop {
         if count(&membership).await <= 1 {
             let found = read_contacts(&kernel, &membership).await;
@@ -442,15 +444,23 @@
         }
         let (count, now) = (count(&membership).await, kernel.clock().now());
         // Another daemon with the same row number may have overwritten the row.
-        let is_due_for_renewal = |at| count > 1 && now - at > renewal_age(count);
-        let needs_row = written_at.is_none_or(is_due_for_renewal) && is_contact(&membership).await;
-        if needs_row && write_contact_row(&kernel, &membership).await {
-            written_at = Some(now);
+        let is_due_for_renewal = |(at, _)| count > 1 && now - at > renewal_age(count);
+        let needs_row = written.is_none_or(is_due_for_renewal) && is_contact(&membership).await;
+        if needs_row && let Some(era) = write_contact_row(&kernel, &membership).await {
+            written = Some((now, era));
             sync_with(&kernel, &read_contacts(&kernel, &membership).await).await;
         }
-        let is_settled = count > 1 && (written_at.is_some() || !needs_row);
+        let is_settled = count > 1 && (written.is_some() || !needs_row);
         pause = if is_settled { ROW_CHECK_INTERVAL } else { (pause * 2).min(JOIN_PAUSE_MAX) };
-        kernel.clock().sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+        let pause = pause.mul_f64(0.5 + fastrand::f64());
+        let Some((_, era)) = written else {
+            kernel.clock().sleep(pause).await;
+            continue;
+        };
+        if let Ok(Some(_)) = kernel.clock().timeout(pause, storage::next_era(&kernel, era)).await {
+            log::info!("the store may have lost the contact row, which is written again");
+            written = None;
+        }
     }
 }
 
@@ -503,12 +513,10 @@
     }
 }
 
-/// Writes this node's row to the contact table. Returns `false` if the row was not written
-/// or the result is unknown.
-async fn write_contact_row(kernel: &Kernel, membership: &Mailbox<Message>) -> bool {
-    let Some(local) = membership.request(|reply| Message::Local { reply }).await else {
-        return false;
-    };
+/// Writes this node's row to the contact table. Returns the era of the store, or `None` if the
+/// row was not written or the result is unknown.
+async fn write_contact_row(kernel: &Kernel, membership: &Mailbox<Message>) -> Option<Era> {
+    let local = membership.request(|reply| Message::Local { reply }).await?;
     let row_number = local.node % CONTACT_ROWS;
     let write = Write {
         key: format!("{MEMBER_TABLE}/{}/{row_number:02}", local.data_centre).into(),
@@ -516,6 +524,8 @@
         value: local.address,
     };
     let store: Mailbox<storage::Message> = kernel.service(names::STORE);
-    let result = store.request(|reply| storage::Message::Commit { write, reply }).await;
-    matches!(result, Some(store::CommitResult::Done(_)))
+    match store.request(|reply| storage::Message::Commit { write, reply }).await? {
+        CommitResult::Done(tags) => tags.first().map(|tag| tag.era),
+        _ => None,
+    }
 }
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -39,6 +39,8 @@
     BatchFinished,
     /// A response of the store has begun a new era.
     EraChanged(Era),
+    /// Returns the latest era of the store once it is greater than `after`.
+    AwaitEra { after: Era, reply: Reply<Era> },
     /// The number of members in the fleet has changed to this value.
     MemberCount(usize),
     /// Returns whether the platform is considered down.
@@ -58,6 +60,7 @@
         reads: TokenBucket::new(now, FLEET_READS_PER_SECOND),
         writes: TokenBucket::new(now, FLEET_WRITES_PER_SECOND),
         era: None,
+        awaiting_era: Vec::new(),
     };
     kernel.start(task.run(inbox));
 }
@@ -72,6 +75,8 @@
     writes: TokenBucket,
     /// The latest era of the store's responses.
     era: Option<Era>,
+    /// Requests that wait for an era after the given one.
+    awaiting_era: Vec<(Era, Reply<Era>)>,
 }
 
 impl Task {
@@ -107,6 +112,13 @@
                 self.send_batch();
             }
             Message::EraChanged(era) => self.observe_era(era),
+            Message::AwaitEra { after, reply } => match self.era {
+                Some(era) if era > after => drop(reply.send(era)),
+                _ => {
+                    self.awaiting_era.retain(|(_, reply)| !reply.is_abandoned());
+                    self.awaiting_era.push((after, reply));
+                }
+            },
             Message::MemberCount(count) => {
                 self.reads.set_share(FLEET_READS_PER_SECOND, count);
                 self.writes.set_share(FLEET_WRITES_PER_SECOND, count);
@@ -154,6 +166,9 @@
         }
         self.era = self.era.max(Some(era));
         metrics::gauge!("bronzeport_store_era").set(era as f64);
+        for (_, reply) in self.awaiting_era.extract_if(.., |(after, _)| era > *after) {
+            reply.send(era);
+        }
     }
 
     fn commit(&mut self, now: Instant, write: Write, reply: Reply<CommitResult>) {
@@ -196,6 +211,12 @@
     }
 }
 
+/// Waits until the store is in a later era than `after`, and returns that era.
+pub(crate) async fn next_era(kernel: &Kernel, after: Era) -> Option<Era> {
+    let store: Mailbox<Message> = kernel.service(names::STORE);
+    store.request(|reply| Message::AwaitEra { after, reply }).await
+}
+
 /// Runs a call to the store and reports a new era to the service.
 async fn watch_era<T>(
     store: &Store,
--- a/crates/kernel/src/mailbox.rs
+++ b/crates/kernel/src/mailbox.rs
@@ -65,6 +65,11 @@
     pub fn send(self, value: T) -> bool {
         self.0.send(value).is_ok()
     }
+
+    /// Whether the receiver has been dropped.
+    pub fn is_abandoned(&self) -> bool {
+        self.0.is_closed()
+    }
 }
 
 impl<T> ReplyReceiver<T> {
