Configuration: revisions are not used twice, and what the store has lost is written again

With the project's own interface, publish said "revision 1 is in force" on a restored store while daemons were at 3 and ignored it. What had been published and was lost with the copy was unknown to daemons that started later.

Cause: a revision was known by its number alone, which a restored store gives out again, and the store was taken as the only place that has to know it.

- The first revision of an era of the store is greater than all of the eras before (era * 10^9 + 1), so that no number is used twice, and daemons that were ahead take the new publication.
- Each file carries the revision at which it was published.
A daemon that polls the head in a new era, or finds it behind what is in force, compares the files with its own and writes the lost ones again, on condition of the head, with an entry in the log.
A file that was published later is never replaced by an older one, whoever writes first.
- The head names the era in which it was written or confirmed.
Only a daemon that has seen an earlier era confirms it.
- publish says "in force" only of daemons that have said so.
- The log is read along its entries, since revisions have gaps.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -26,6 +26,8 @@
   --daemons IP:PORT,.. admin addresses of daemons   [BRONZEPORT_DAEMONS]
   --who NAME           who publishes                [BRONZEPORT_WHO, USER]
   --remove SERVICE     with publish: remove a service, may be repeated
+  --accept-copy        with publish: the store came back from an older copy and no daemon
+                       knows what was in force; publish on what it has
   --log FILE           with explain: a daemon's log, may be repeated; - is the input
   --limit N            with history: newest entries [20]
   --json               print JSON for programs
@@ -51,6 +53,8 @@
     pub logs: Vec<PathBuf>,
     /// Services that `publish` removes.
     pub remove: Vec<Box<str>>,
+    /// Whether `publish` takes what a restored store has as in force.
+    pub accept_copy: bool,
     /// Maximum number of history entries to print.
     pub limit: usize,
     /// Whether to print results as JSON.
@@ -122,6 +126,7 @@
         who: env_var("BRONZEPORT_WHO").or_else(|| env_var("USER")).unwrap_or("unknown".into()),
         logs: Vec::new(),
         remove: Vec::new(),
+        accept_copy: false,
         limit: 20,
         json: false,
         operands: Vec::new(),
@@ -145,6 +150,7 @@
             }
             Arg::Long("who") => args.who = parser.value()?.string()?.into(),
             Arg::Long("remove") => args.remove.push(parser.value()?.string()?.into()),
+            Arg::Long("accept-copy") => args.accept_copy = true,
             Arg::Long("log") => args.logs.push(parser.value()?.into()),
             Arg::Long("limit") => args.limit = parser.value()?.parse()?,
             Arg::Value(value) if command.is_none() => {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -111,43 +111,64 @@
         who: args.who.clone(),
         files,
         remove: args.remove.clone(),
+        accept_copy: args.accept_copy,
     };
     match kernel.run(publish::publish(&store, publication)) {
         Ok((published, changes)) => {
-            notify_daemons(args, &published, &changes);
-            report_result(args, &published)
+            let behind = notify_daemons(args, &published, &changes);
+            report_result(args, &published, behind)
         }
         Err(report) => {
             eprintln!("{report:?}");
             match report.current_context() {
                 PublishError::Unknown => ExitStatus::Unknown,
-                PublishError::NotPublished | PublishError::TooLarge => ExitStatus::Failed,
+                PublishError::NotPublished | PublishError::Unconfirmed | PublishError::TooLarge => {
+                    ExitStatus::Failed
+                }
             }
         }
     }
 }
 
 /// Sends the new revision to the daemons given by `--daemons`, which pass it on to
-/// their peers. A daemon that cannot be reached gets the revision from its peers.
-fn notify_daemons(args: &Args, published: &PublishResult, changes: &Value) {
+/// their peers. A daemon that cannot be reached gets the revision from its peers. Returns
+/// the number of daemons that do not have it in force yet.
+fn notify_daemons(args: &Args, published: &PublishResult, changes: &Value) -> usize {
     let PublishResult::Accepted { from, revision } = published else {
-        return;
+        return 0;
     };
     let body = json!({ "from": from, "revision": revision, "changes": changes });
     let admin = AdminClient::default();
+    let mut behind = 0;
     for daemon in &args.daemons {
-        if let Err(error) = admin.post(*daemon, "/changes", &body) {
-            eprintln!("cannot send the new revision to a daemon: {error}");
+        match admin.post(*daemon, "/changes", &body) {
+            Ok(state) if state["revision"].as_u64() >= Some(*revision) => {}
+            Ok(state) => {
+                eprintln!("{daemon} still has revision {} in force", state["revision"]);
+                behind += 1;
+            }
+            Err(error) => {
+                eprintln!("cannot send the new revision to a daemon: {error}");
+                behind += 1;
+            }
         }
     }
+    behind
 }
 
-fn report_result(args: &Args, published: &PublishResult) -> ExitStatus {
+fn report_result(args: &Args, published: &PublishResult, behind: usize) -> ExitStatus {
     let (exit, value, text) = match published {
         PublishResult::Accepted { from, revision } => (
             ExitStatus::Done,
-            json!({ "result": "accepted", "revision": revision, "from": from }),
-            format!("revision {revision} is in force, based on {from}"),
+            json!({ "result": "accepted", "revision": revision, "from": from, "behind": behind }),
+            match (args.daemons.len(), behind) {
+                (0, _) => format!("revision {revision} is published, based on {from}"),
+                (_, 0) => format!("revision {revision} is in force, based on {from}"),
+                (asked, behind) => format!(
+                    "revision {revision} is published, based on {from}; not yet in force at \
+                     {behind} of {asked} daemons"
+                ),
+            },
         ),
         PublishResult::Unchanged { revision } => (
             ExitStatus::Done,
@@ -193,8 +214,8 @@
         Ok(opened) => opened,
         Err(text) => return fail(text),
     };
-    let head = match kernel.run(publish::read_head(&store)) {
-        Ok(head) => head.revision,
+    let (head, is_unconfirmed) = match kernel.run(publish::read_head(&store)) {
+        Ok(head) => (head.revision, head.is_unconfirmed),
         Err(report) => return fail(format!("{report:?}")),
     };
     let admin = AdminClient::default();
@@ -209,9 +230,16 @@
         }
     }
     if args.json {
-        return print(&json!({ "revision": head, "behind": behind }).to_string());
+        let value = json!({ "revision": head, "unconfirmed": is_unconfirmed, "behind": behind });
+        return print(&value.to_string());
+    }
+    match is_unconfirmed {
+        true => println!(
+            "the store has revision {head}; it came back from an older copy, and later \
+             revisions may be in force"
+        ),
+        false => println!("revision {head} is in force"),
     }
-    println!("revision {head} is in force");
     for daemon in behind {
         println!("not yet at {daemon}");
     }
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -7,26 +7,23 @@
 //! of the publication in the log shows whether the transaction took effect.
 
 use std::fmt;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use config::Revision;
+use config::stored;
+use config::{Change, Revision};
 use error_stack::{Report, ResultExt};
 use serde_json::{Value, json};
 use store::{Cell, CommitResult, Condition, Failure, Row, Store, Tag, Write};
 
 use crate::files::ServiceFile;
 
-/// Key of the row that holds the newest revision.
-pub const HEAD_KEY: &str = "config/head";
-/// Prefix of the keys of audit trail entries.
-pub const LOG_PREFIX: &str = "config/log/";
-/// Prefix of the keys of service files.
-pub const SERVICE_PREFIX: &str = "config/service/";
-
 /// Maximum number of times that a transaction is sent while its result is unknown.
 const MAX_COMMIT_ATTEMPTS: u32 = 8;
 /// Time between two attempts to send the transaction.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Time limit for a daemon to confirm the head after the store came back from an older copy.
+/// The daemons together read the head many times in it.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Changes to publish together.
 #[derive(Debug)]
@@ -39,6 +36,9 @@
     pub files: Vec<ServiceFile>,
     /// Services to remove.
     pub remove: Vec<Box<str>>,
+    /// Whether to publish on what the store has, although it came back from an older copy and
+    /// no daemon has confirmed that nothing is missing.
+    pub accept_copy: bool,
 }
 
 /// Result of a publication whose effect is known.
@@ -68,8 +68,11 @@
 pub enum PublishError {
     /// Nothing is written.
     NotPublished,
+    /// Nothing is written: the store came back from an older copy, and no daemon has confirmed
+    /// yet what is in force.
+    Unconfirmed,
     /// Too many files differ from those in force, or they are too large together; see
-    /// [`MAX_FILES`] and [`MAX_ROW_BYTES`].
+    /// [`stored::MAX_FILES`] and [`stored::MAX_ROW_BYTES`].
     TooLarge,
     /// It is unknown whether the files are written.
     Unknown,
@@ -79,6 +82,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::NotPublished => "nothing is published",
+            Self::Unconfirmed => {
+                "nothing is published: the store came back from an older copy, and no daemon has \
+                 confirmed what is in force; see `--accept-copy`"
+            }
             Self::TooLarge => {
                 "nothing is published: more than 64 KiB or 90 files differ; publish them in parts"
             }
@@ -89,31 +96,52 @@
 
 impl std::error::Error for PublishError {}
 
-/// The head row of the configuration in the store.
+/// The head of the configuration as read from the store.
 #[derive(Debug)]
 pub struct Head {
     /// The newest revision; 0 before the first publication.
     pub revision: Revision,
+    /// Whether publications after this revision may be lost: the store has come back from an
+    /// older copy, and no daemon has confirmed the head since.
+    pub is_unconfirmed: bool,
     tag: Tag,
 }
 
+impl Head {
+    /// Returns the revision of a publication based on this head.
+    fn next_revision(&self) -> Revision {
+        stored::next_revision(self.revision, self.tag.era)
+    }
+}
+
 /// Reads the head of the configuration.
 pub async fn read_head(store: &Store) -> Result<Head, Report<Failure>> {
-    let Cell { tag, value } = store.read_cell(HEAD_KEY).await.map_err(Report::new)?;
+    let Cell { tag, value } = store.read_cell(stored::HEAD_KEY).await.map_err(Report::new)?;
     let Some(text) = value else {
-        return Ok(Head { revision: 0, tag });
+        return Ok(Head { revision: 0, is_unconfirmed: false, tag });
     };
-    let value: Value = serde_json::from_str(&text).change_context(Failure::Garbled)?;
-    let revision = value["revision"].as_u64().ok_or_else(|| Report::new(Failure::Garbled))?;
-    Ok(Head { revision, tag })
+    let head = stored::Head::try_from(&*text).change_context(Failure::Garbled)?;
+    Ok(Head { revision: head.revision, is_unconfirmed: head.is_unconfirmed_in(tag.era), tag })
 }
 
-/// Maximum size of a row in the store, in bytes. A log entry is one row and holds all
-/// files of its publication.
-pub const MAX_ROW_BYTES: usize = 64 * 1024;
-/// Maximum number of files that a publication may change. A transaction of the store
-/// holds at most 100 rows.
-pub const MAX_FILES: usize = 90;
+/// Reads the head, and waits until a daemon has confirmed it if the store has come back from
+/// an older copy.
+async fn read_confirmed_head(
+    store: &Store,
+    accept_copy: bool,
+) -> Result<Head, Report<PublishError>> {
+    let started = Instant::now();
+    loop {
+        let head = read_head(store).await.change_context(PublishError::NotPublished)?;
+        if !head.is_unconfirmed || accept_copy {
+            return Ok(head);
+        }
+        if started.elapsed() > CONFIRM_TIMEOUT {
+            return Err(Report::new(PublishError::Unconfirmed));
+        }
+        std::thread::sleep(RETRY_DELAY);
+    }
+}
 
 /// Publishes the changes. The second part of the result is the list of changed files
 /// in the format that daemons accept at `/changes`.
@@ -121,17 +149,17 @@
     store: &Store,
     publication: Publication,
 ) -> Result<(PublishResult, Value), Report<PublishError>> {
-    let head = read_head(store).await.change_context(PublishError::NotPublished)?;
+    let head = read_confirmed_head(store, publication.accept_copy).await?;
     let changes =
         find_changes(store, &publication).await.change_context(PublishError::NotPublished)?;
     if changes.is_empty() {
         let revision = head.revision;
         return Ok((PublishResult::Unchanged { revision }, Value::Null));
     }
-    let has_too_many_files = changes.len() > MAX_FILES;
+    let has_too_many_files = changes.len() > stored::MAX_FILES;
     let changes = Value::Array(changes);
     let writes = build_writes(&head, &publication, &changes);
-    if has_too_many_files || writes.iter().any(|write| write.value.len() > MAX_ROW_BYTES) {
+    if has_too_many_files || writes.iter().any(|write| write.value.len() > stored::MAX_ROW_BYTES) {
         return Err(Report::new(PublishError::TooLarge));
     }
     let published = commit(store, &head, &publication, writes).await?;
@@ -148,7 +176,7 @@
     let files = publication.files.iter().map(|file| (&file.service, &*file.body));
     let removed = publication.remove.iter().map(|service| (service, ""));
     for (service, body) in files.chain(removed) {
-        let row = store.read(&format!("{SERVICE_PREFIX}{service}")).await.map_err(Report::new)?;
+        let row = store.read(&stored::service_key(service)).await.map_err(Report::new)?;
         let current = row.map(|row| body_of(&row)).unwrap_or_default();
         if *current != *body {
             changes.push(json!({ "service": **service, "body": body }));
@@ -164,36 +192,43 @@
 
 /// Returns the writes of the transaction: the head, the log entry and the files.
 fn build_writes(head: &Head, publication: &Publication, changes: &Value) -> Vec<Write> {
-    let revision = head.revision + 1;
+    let revision = head.next_revision();
     let when = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-    let entry = json!({
-        "revision": revision,
-        "from": head.revision,
-        "publication": *publication.id,
-        "who": *publication.who,
-        "when": when,
-        "changes": changes,
+    let text = |value: &Value| value.as_str().unwrap_or_default().into();
+    let changes = changes.as_array().into_iter().flatten();
+    let changes = changes.map(|change| Change {
+        revision,
+        published: revision,
+        service: text(&change["service"]),
+        body: text(&change["body"]),
     });
+    let changes: Vec<Change> = changes.collect();
+    let entry = stored::Entry {
+        revision,
+        from: head.revision,
+        publication: &publication.id,
+        who: &publication.who,
+        when,
+        changes: &changes,
+    };
+    let new_head = stored::Head { revision, era: Some(head.tag.era) };
     let mut writes = vec![
         Write {
-            key: HEAD_KEY.into(),
+            key: stored::HEAD_KEY.into(),
             condition: Condition::Tag(head.tag),
-            value: json!({ "revision": revision }).to_string().into(),
+            value: new_head.to_text(),
         },
         Write {
-            key: log_key(revision),
+            key: stored::log_key(revision),
             condition: Condition::Absent,
-            value: entry.to_string().into(),
+            value: entry.to_text(),
         },
     ];
-    for change in changes.as_array().into_iter().flatten() {
-        let service = change["service"].as_str().unwrap_or_default();
-        writes.push(Write {
-            key: format!("{SERVICE_PREFIX}{service}").into(),
-            condition: Condition::Always,
-            value: json!({ "revision": revision, "body": change["body"] }).to_string().into(),
-        });
-    }
+    writes.extend(changes.iter().map(|change| Write {
+        key: stored::service_key(&change.service),
+        condition: Condition::Always,
+        value: stored::service_text(change),
+    }));
     writes
 }
 
@@ -205,7 +240,7 @@
     publication: &Publication,
     writes: Vec<Write>,
 ) -> Result<PublishResult, Report<PublishError>> {
-    let (from, revision) = (head.revision, head.revision + 1);
+    let (from, revision) = (head.revision, head.next_revision());
     let mut may_be_written = false;
     for _ in 0..MAX_COMMIT_ATTEMPTS {
         match store.commit(writes.clone()).await {
@@ -232,14 +267,10 @@
 /// Reads the log entry of a revision. Returns `None` if it does not exist or cannot be
 /// read.
 async fn read_entry(store: &Store, revision: Revision) -> Option<Row> {
-    store.read(&log_key(revision)).await.ok().flatten()
+    store.read(&stored::log_key(revision)).await.ok().flatten()
 }
 
 fn is_entry_of(row: &Row, publication: &Publication) -> bool {
     let value: Value = serde_json::from_str(&row.value).unwrap_or_default();
     value["publication"].as_str() == Some(&publication.id)
 }
-
-fn log_key(revision: Revision) -> Box<str> {
-    format!("{LOG_PREFIX}{revision:012}").into()
-}
--- a/crates/config/src/active.rs
+++ b/crates/config/src/active.rs
@@ -14,8 +14,11 @@
 /// The newest version of a service file and the revision that introduced it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
-    /// Revision at which the file was accepted.
+    /// Revision by which the file became part of the configuration.
     pub revision: Revision,
+    /// Revision at which an operator published the file. It is lower than `revision` if a
+    /// daemon has written the file again after the store had lost it.
+    pub published: Revision,
     /// Name of the service; empty for the route table.
     pub service: Box<str>,
     /// Text of the file; empty when the service was removed.
@@ -96,6 +99,12 @@
         self.entries.values().filter_map(Entry::service)
     }
 
+    /// Returns the newest change of every service.
+    pub fn service_changes(&self) -> impl Iterator<Item = &Change> {
+        let changes = self.entries.values().map(|entry| &entry.change);
+        changes.filter(|change| *change.service != *ROUTE_TABLE_KEY)
+    }
+
     /// Returns the newest change of every service that changed after revision
     /// `after`, and the revision that installing these changes leads to.
     ///
@@ -152,16 +161,18 @@
         if revision <= self.revision {
             return Ok(InstallResult::Stale { revision });
         }
-        let change = Change { revision, service: ROUTE_TABLE_KEY.into(), body };
+        let change =
+            Change { revision, published: revision, service: ROUTE_TABLE_KEY.into(), body };
         self.insert_if_newer(Entry { change, content: Content::RouteTable(Rc::new(table)) });
         self.revision = revision;
         Ok(InstallResult::Installed(revision))
     }
 
     fn insert_if_newer(&mut self, entry: Entry) {
+        let age = |change: &Change| (change.published, change.revision);
         let name = &entry.change.service;
-        let current = self.entries.get(name).map_or(0, |entry| entry.change.revision);
-        if entry.change.revision > current {
+        let current = self.entries.get(name).map_or((0, 0), |entry| age(&entry.change));
+        if age(&entry.change) > current {
             self.entries.insert(name.clone(), entry);
         }
     }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,7 +2,8 @@
 //! requests of a service may be treated, and the route table.
 //!
 //! Validation of a file reports all problems together, each with its line and
-//! column. [`ActiveConfig`] holds the configuration in force and its revision.
+//! column. [`ActiveConfig`] holds the configuration in force and its revision, and
+//! [`stored`] has the rows that keep it in the store.
 //!
 //! ```
 //! use config::{Service, Source};
@@ -30,6 +31,7 @@
 mod route_table;
 mod scanners;
 mod service;
+pub mod stored;
 
 pub use active::{ActiveConfig, Change, InstallResult, ReadTable, Revision};
 pub use finding::{Finding, Findings};
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -123,6 +123,7 @@
     let changes = value["changes"].as_array()?.iter().map(|change| {
         Some(config::Change {
             revision,
+            published: revision,
             service: change["service"].as_str()?.into(),
             body: change["body"].as_str()?.into(),
         })
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -116,7 +116,8 @@
         | Reason::StoreDown
         | Reason::TargetShed
         | Reason::TargetFailing
-        | Reason::Slow => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::Slow
+        | Reason::StoreRestored => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -4,6 +4,7 @@
 //! revision, or from a table of the store. A lower revision never replaces a higher one,
 //! whatever its source.
 
+mod recovery;
 #[cfg(test)]
 mod tests;
 
@@ -11,14 +12,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use config::stored::{self, Head};
 use config::{ActiveConfig, Change, InstallResult, PathRule, RequestLimits, Revision, Service};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use serde_json::Value;
 use store::{Cell, Failure, Position, Row, Rows};
 use wire::Changes;
 
 use crate::adapter::ProtocolAdapter;
 use crate::{guard, membership, names, peers, router, storage};
+use recovery::StoredHead;
 
 /// Reads of the newest revision number per second by the whole fleet.
 const FLEET_POLLS_PER_SECOND: f64 = 100.0;
@@ -60,10 +62,6 @@
 /// Mean pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-const HEAD_KEY: &str = "config/head";
-const LOG_PREFIX: &str = "config/log/";
-const SERVICE_PREFIX: &str = "config/service/";
-
 /// Messages that the service handles.
 pub(crate) enum Message {
     /// Looks up the settings of a service.
@@ -76,6 +74,8 @@
     PeerRevision { revision: Revision, from: Box<str> },
     /// Returns all changes after a revision.
     Changes { after: Revision, reply: Reply<Changes> },
+    /// Returns the newest change of every service.
+    ServiceChanges { reply: Reply<Vec<Change>> },
     /// Installs these changes, which apply to revision `from`.
     Install { from: Revision, changes: Changes },
     /// A pull from a peer has ended.
@@ -136,6 +136,7 @@
 /// `join_within` is the longest random wait before this daemon contacts other daemons.
 pub(crate) fn start(
     kernel: &Kernel,
+    node: u64,
     adapter: ProtocolAdapter,
     bootstrap_peers: &[SocketAddr],
     join_within: Duration,
@@ -166,7 +167,7 @@
                 join_within,
             ));
         }
-        None => kernel.start(poll_store(kernel.clone(), mailbox, bootstrap_peers)),
+        None => kernel.start(poll_store(kernel.clone(), mailbox, node, bootstrap_peers)),
     }
 }
 
@@ -210,6 +211,9 @@
                 let (revision, changes) = self.active_config.changes_since(after, MAX_PULL_BYTES);
                 reply.send(Changes { revision, changes });
             }
+            Message::ServiceChanges { reply } => {
+                reply.send(self.active_config.service_changes().cloned().collect());
+            }
             Message::Install { from, changes } => self.install(from, changes),
             Message::PullFinished => self.is_pulling = false,
             Message::Head(head) => self.check_head(head),
@@ -339,7 +343,13 @@
 
 /// Requests the configuration from peers at the start, then polls the store for new
 /// revisions.
-async fn poll_store(kernel: Kernel, mailbox: Mailbox<Message>, bootstrap_peers: Vec<Box<str>>) {
+async fn poll_store(
+    kernel: Kernel,
+    mailbox: Mailbox<Message>,
+    node: u64,
+    bootstrap_peers: Vec<Box<str>>,
+) {
+    let mut progress = recovery::Progress::default();
     for peer in bootstrap_peers.into_iter().take(MAX_BOOTSTRAP_PEERS) {
         pull_all(&kernel, &mailbox, peer, 0, Revision::MAX).await;
     }
@@ -347,12 +357,17 @@
         let revision =
             mailbox.request(|reply| Message::State { reply }).await.map_or(0, |s| s.revision);
         let head = read_head(&kernel).await;
-        if let Ok(head) = head
-            && head > revision
-        {
-            read_changes(&kernel, &mailbox, revision, head).await;
+        if let Ok(stored) = head {
+            let must_recover = progress.must_recover(stored, revision);
+            if stored.head.revision > revision {
+                read_changes(&kernel, &mailbox, revision, stored.head.revision).await;
+            } else if must_recover
+                && let Err(failure) = progress.recover(&kernel, &mailbox, node, stored).await
+            {
+                log::warn!("cannot write again what the store has lost: {failure}");
+            }
         }
-        mailbox.send(Message::Head(head));
+        mailbox.send(Message::Head(head.map(|stored| stored.head.revision)));
         wait_for_poll(&kernel).await;
     }
 }
@@ -497,14 +512,15 @@
     changes.ok()?.ok()
 }
 
-async fn read_head(kernel: &Kernel) -> Result<Revision, Failure> {
+async fn read_head(kernel: &Kernel) -> Result<StoredHead, Failure> {
     let store: Mailbox<storage::Message> = kernel.service(names::STORE);
-    let key = HEAD_KEY.into();
-    let Cell { value, .. } = store
+    let key = stored::HEAD_KEY.into();
+    let Cell { tag, value } = store
         .request(|reply| storage::Message::Read { key, reply })
         .await
         .unwrap_or(Err(Failure::Down))?;
-    value.map_or(Ok(0), |text| parse_number(&text, "revision").ok_or(Failure::Garbled))
+    let head = value.map(|text| Head::try_from(&*text)).transpose();
+    Ok(StoredHead { head: head.map_err(|_| Failure::Garbled)?.unwrap_or_default(), tag })
 }
 
 /// Reads the changes from `revision` to `head` from the store and installs them.
@@ -514,9 +530,17 @@
     revision: Revision,
     head: Revision,
 ) {
-    let read = match head - revision <= MAX_LOG_ROWS as u64 {
+    let from_log = match head - revision <= MAX_LOG_ROWS as u64 {
         true => read_log(kernel, revision, head).await,
-        false => read_services(kernel, head).await,
+        false => None,
+    };
+    // The log has gaps where revisions were lost.
+    let read = match from_log {
+        Some(changes) => Some(changes),
+        None => {
+            let changes = list_services(kernel).await;
+            changes.map(|changes| Changes { revision: head, changes })
+        }
     };
     if let Some(changes) = read {
         mailbox.send(Message::Install { from: revision, changes });
@@ -533,51 +557,34 @@
 /// Reads the changes between two revisions from the rows of the log. Returns `None` if a
 /// revision is missing.
 async fn read_log(kernel: &Kernel, revision: Revision, head: Revision) -> Option<Changes> {
-    let after = format!("{LOG_PREFIX}{revision:012}");
-    let rows = list(kernel, LOG_PREFIX, &after, MAX_LOG_ROWS).await?;
+    let rows = list(kernel, stored::LOG_PREFIX, &stored::log_key(revision), MAX_LOG_ROWS).await?;
     let mut changes = Vec::new();
     let mut expected = revision + 1;
     for row in rows {
-        let value: Value = serde_json::from_str(&row.value).ok()?;
-        if value["revision"].as_u64()? != expected {
+        let (revision, entry_changes) = stored::read_entry(&row.value).ok()?;
+        if revision != expected {
             return None;
         }
-        for change in value["changes"].as_array()? {
-            changes.push(Change {
-                revision: expected,
-                service: change["service"].as_str()?.into(),
-                body: change["body"].as_str()?.into(),
-            });
-        }
+        changes.extend(entry_changes);
         expected += 1;
     }
     (expected > head).then_some(Changes { revision: expected - 1, changes })
 }
 
 /// Reads the newest change of every service. The result may include changes that are newer
-/// than `head`; these are installed again with their own revision.
-async fn read_services(kernel: &Kernel, head: Revision) -> Option<Changes> {
+/// than the head that was read before; these are installed again with their own revision.
+async fn list_services(kernel: &Kernel) -> Option<Vec<Change>> {
     let mut changes = Vec::new();
     let mut after = Box::from("");
     loop {
-        let rows = list(kernel, SERVICE_PREFIX, &after, PAGE_ROWS).await?;
+        let rows = list(kernel, stored::SERVICE_PREFIX, &after, PAGE_ROWS).await?;
         let is_last = rows.len() < PAGE_ROWS;
         for row in rows {
-            let value: Value = serde_json::from_str(&row.value).ok()?;
-            changes.push(Change {
-                revision: value["revision"].as_u64()?,
-                service: row.key.strip_prefix(SERVICE_PREFIX)?.into(),
-                body: value["body"].as_str()?.into(),
-            });
+            changes.push(stored::read_service(&row.key, &row.value).ok()?);
             after = row.key;
         }
         if is_last {
-            return Some(Changes { revision: head, changes });
+            return Some(changes);
         }
     }
 }
-
-fn parse_number(text: &str, key: &str) -> Option<u64> {
-    let value: Value = serde_json::from_str(text).ok()?;
-    value[key].as_u64()
-}
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -311,5 +311,6 @@
         Reason::UnknownPath => "unknown-path",
         Reason::NotReady => "not-ready",
         Reason::Slow => "slow",
+        Reason::StoreRestored => "store-restored",
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -150,7 +150,7 @@
     membership::start(kernel, socket, local, bootstrap_peers, settings.join_within, seed)
         .describe(|| "cannot start gossip".into())?;
     let guard = guard::start(kernel, node, adapter, settings.target.as_ref(), discipline);
-    configuration::start(kernel, adapter, &settings.peers, settings.join_within);
+    configuration::start(kernel, node, adapter, &settings.peers, settings.join_within);
     serve_peers(kernel, peer_listener, uplink, rpc_handler(kernel, node, guard.clone()))
         .describe(|| "cannot serve other daemons".into())?;
     admin::start(kernel, admin_listener, node, metrics)
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -35,6 +35,8 @@
     Feed { table: Box<str>, after: Position, wait: Duration, reply: Reply<Result<Rows, Failure>> },
     /// Writes a row. The write may share a transaction with other writes.
     Commit { write: Write, reply: Reply<CommitResult> },
+    /// Writes either all rows or none, in a transaction of their own.
+    CommitAll { writes: Vec<Write>, reply: Reply<CommitResult> },
     /// The transaction in flight has ended.
     BatchFinished,
     /// A response of the store has begun a new era.
@@ -107,6 +109,7 @@
                 self.read(now, "feed", reply, operation);
             }
             Message::Commit { write, reply } => self.commit(now, write, reply),
+            Message::CommitAll { writes, reply } => self.commit_all(now, writes, reply),
             Message::BatchFinished => {
                 self.is_committing = false;
                 self.send_batch();
@@ -176,16 +179,42 @@
             reply.send(CommitResult::NotSent(Failure::Down));
             return;
         }
-        if !self.writes.try_withdraw(now) {
-            metrics::counter!("bronzeport_store_over_budget_total", "kind" => "write").increment(1);
+        if !self.withdraw_write(now) {
             reply.send(CommitResult::NotSent(Failure::Throttled));
             return;
         }
-        metrics::counter!("bronzeport_store_writes_total").increment(1);
         self.batch.push(write, reply);
         self.send_batch();
     }
 
+    fn commit_all(&mut self, now: Instant, writes: Vec<Write>, reply: Reply<CommitResult>) {
+        let Some(store) = self.store.clone() else {
+            reply.send(CommitResult::NotSent(Failure::Down));
+            return;
+        };
+        if !self.withdraw_write(now) {
+            reply.send(CommitResult::NotSent(Failure::Throttled));
+            return;
+        }
+        let mailbox = self.mailbox.clone();
+        self.kernel.start(async move {
+            let commit = watch_era(&store, &mailbox, store.commit(writes)).await;
+            count_call("write", commit_label(&commit));
+            reply.send(commit);
+        });
+    }
+
+    /// Uses up a write of this daemon's share of the budget. Returns `false` if none is left.
+    fn withdraw_write(&mut self, now: Instant) -> bool {
+        let is_allowed = self.writes.try_withdraw(now);
+        match is_allowed {
+            true => metrics::counter!("bronzeport_store_writes_total").increment(1),
+            false => metrics::counter!("bronzeport_store_over_budget_total", "kind" => "write")
+                .increment(1),
+        }
+        is_allowed
+    }
+
     /// Sends the pending writes, unless a transaction is in flight.
     fn send_batch(&mut self) {
         if self.is_committing || self.batch.is_empty() {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -250,6 +250,7 @@
                 })
                 .collect(),
             remove: Vec::new(),
+            accept_copy: false,
         };
         let result = with_store(self.platform, async |store| {
             cli::publish::publish(&store, publication).await
--- a/crates/wire/schema/bronzeport.capnp
+++ b/crates/wire/schema/bronzeport.capnp
@@ -8,7 +8,7 @@
   crashed @7; cut @8; expired @9; storeDown @10; conflict @11; alreadyRan @12;
   inProgress @13; refusedBefore @14; tooDeep @15; tooLarge @16; unknownService @17;
   unknownMethod @18; targetShed @19; targetFailing @20; badRequest @21; unknownPath @22; notReady @23;
-  slow @24;
+  slow @24; storeRestored @25;
 }
 
 struct Header { name @0 :Text; value @1 :Data; }
@@ -64,6 +64,7 @@
   revision @0 :UInt64;
   service @1 :Text;
   body @2 :Text;
+  published @3 :UInt64;
 }
 
 struct Member {
--- a/crates/wire/src/bronzeport_capnp.rs
+++ b/crates/wire/src/bronzeport_capnp.rs
@@ -104,6 +104,7 @@
     UnknownPath = 22,
     NotReady = 23,
     Slow = 24,
+    StoreRestored = 25,
 }
 
 impl ::capnp::introspect::Introspect for Reason {
@@ -141,6 +142,7 @@
             22 => ::core::result::Result::Ok(Self::UnknownPath),
             23 => ::core::result::Result::Ok(Self::NotReady),
             24 => ::core::result::Result::Ok(Self::Slow),
+            25 => ::core::result::Result::Ok(Self::StoreRestored),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -153,7 +155,7 @@
     const TYPE_ID: u64 = 0xba60_6135_b9c7_df0au64;
 }
 mod reason {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 137] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(10, 223, 199, 185, 53, 97, 96, 186),
     ::capnp::word(17, 0, 0, 0, 2, 0, 0, 0),
@@ -163,88 +165,91 @@
     ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 95, 2, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 119, 2, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
     ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
     ::capnp::word(58, 82, 101, 97, 115, 111, 110, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(100, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(104, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(49, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(249, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(5, 1, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(237, 0, 0, 0, 34, 0, 0, 0),
+    ::capnp::word(249, 0, 0, 0, 34, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(221, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(233, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(229, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(213, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(225, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(209, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(205, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(217, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(205, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(189, 0, 0, 0, 122, 0, 0, 0),
+    ::capnp::word(201, 0, 0, 0, 122, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(185, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(197, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(19, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(181, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(193, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(20, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(177, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(189, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(21, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(185, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(22, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(169, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(181, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(23, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(24, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(110, 111, 110, 101, 0, 0, 0, 0),
     ::capnp::word(98, 117, 115, 121, 0, 0, 0, 0),
@@ -286,6 +291,8 @@
     ::capnp::word(110, 111, 116, 82, 101, 97, 100, 121),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(115, 108, 111, 119, 0, 0, 0, 0),
+    ::capnp::word(115, 116, 111, 114, 101, 82, 101, 115),
+    ::capnp::word(116, 111, 114, 101, 100, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -2357,11 +2364,15 @@
         pub fn has_body(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_published(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2451,6 +2462,14 @@
         pub fn has_body(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_published(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_published(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2462,45 +2481,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(111, 99, 118, 247, 254, 190, 164, 234),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(82, 119, 63, 158, 192, 182, 161, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
             ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 67, 104, 97, 110, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -2526,12 +2552,22 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 117, 98, 108, 105, 115, 104, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2545,9 +2581,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
         pub(crate) const TYPE_ID: u64 = 0xeaa4_befe_f776_636f;
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -187,6 +187,7 @@
     for (index, change) in from.changes.iter().enumerate() {
         let mut item = list.reborrow().get(index as u32);
         item.set_revision(change.revision);
+        item.set_published(change.published);
         item.set_service(&*change.service);
         item.set_body(&*change.body);
     }
@@ -198,6 +199,11 @@
     let changes = from.get_changes()?.iter().map(|change| {
         Ok(Change {
             revision: change.get_revision(),
+            // A daemon of an earlier build does not send it.
+            published: match change.get_published() {
+                0 => change.get_revision(),
+                published => published,
+            },
             service: text_of(change.get_service())?,
             body: text_of(change.get_body())?,
         })
