At most once: rows of request ids that the store has lost are written again

A request with a key that had run ran again when the store had come back without its claim and the daemon that ran it had restarted. In the same way a request ran whose caller had been told that it never would.

Cause: the absence of a row counted as proof that no copy was claimed. It is one only as long as the store has never lost a row.

- Each daemon keeps the rows that it wrote, with era and version of their creation, and writes the lost ones again, the newest first: a copy that has one of them has those created before it.
- It reports this in a record in the store.
When all daemons that may have claimed requests of a service have reported, one that has seen an earlier era declares the service settled in the new one.
Until then a request whose row is absent is answered unknown, store-restored, 503: nothing runs on a guess.
- A daemon that ended before is accounted for if the copy has its planned stop or the start of its successor at the same address.
- In the first era of a store nothing of this costs a call, but for the record of each start.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -26,8 +26,8 @@
   --daemons IP:PORT,.. admin addresses of daemons   [BRONZEPORT_DAEMONS]
   --who NAME           who publishes                [BRONZEPORT_WHO, USER]
   --remove SERVICE     with publish: remove a service, may be repeated
-  --accept-copy        with publish: the store came back from an older copy and no daemon
-                       knows what was in force; publish on what it has
+  --accept-copy        with publish: take what the store has as complete, although it came
+                       back from an older copy and no daemon can tell what is missing
   --log FILE           with explain: a daemon's log, may be repeated; - is the input
   --limit N            with history: newest entries [20]
   --json               print JSON for programs
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -12,8 +12,9 @@
 use config::stored;
 use config::{Change, Revision};
 use error_stack::{Report, ResultExt};
+use once::settled_key;
 use serde_json::{Value, json};
-use store::{Cell, CommitResult, Condition, Failure, Row, Store, Tag, Write};
+use store::{Cell, CommitResult, Condition, FIRST_ERA, Failure, Row, Store, Tag, Write};
 
 use crate::files::ServiceFile;
 
@@ -36,8 +37,9 @@
     pub files: Vec<ServiceFile>,
     /// Services to remove.
     pub remove: Vec<Box<str>>,
-    /// Whether to publish on what the store has, although it came back from an older copy and
-    /// no daemon has confirmed that nothing is missing.
+    /// Whether to take what the store has as complete, although it came back from an older copy
+    /// and no daemon has confirmed that nothing is missing. All files are written, and requests
+    /// of their services that must not be repeated may run unless the store has their rows.
     pub accept_copy: bool,
 }
 
@@ -118,7 +120,8 @@
 pub async fn read_head(store: &Store) -> Result<Head, Report<Failure>> {
     let Cell { tag, value } = store.read_cell(stored::HEAD_KEY).await.map_err(Report::new)?;
     let Some(text) = value else {
-        return Ok(Head { revision: 0, is_unconfirmed: false, tag });
+        // Only a store that never came back from a copy can have lost nothing.
+        return Ok(Head { revision: 0, is_unconfirmed: tag.era > FIRST_ERA, tag });
     };
     let head = stored::Head::try_from(&*text).change_context(Failure::Garbled)?;
     Ok(Head { revision: head.revision, is_unconfirmed: head.is_unconfirmed_in(tag.era), tag })
@@ -158,16 +161,21 @@
     }
     let has_too_many_files = changes.len() > stored::MAX_FILES;
     let changes = Value::Array(changes);
-    let writes = build_writes(&head, &publication, &changes);
-    if has_too_many_files || writes.iter().any(|write| write.value.len() > stored::MAX_ROW_BYTES) {
+    let mut writes = build_writes(&head, &publication, &changes);
+    let settled = settle_services(store, &head, &publication, &changes).await;
+    writes.extend(settled.change_context(PublishError::NotPublished)?);
+    if has_too_many_files
+        || writes.len() > stored::MAX_TRANSACTION_ROWS
+        || writes.iter().any(|write| write.value.len() > stored::MAX_ROW_BYTES)
+    {
         return Err(Report::new(PublishError::TooLarge));
     }
     let published = commit(store, &head, &publication, writes).await?;
     Ok((published, changes))
 }
 
-/// Returns the files that differ from those in force. A removed file has an empty
-/// body.
+/// Returns the files that differ from those in the store, or all if the operator takes what a
+/// restored store has as complete. A removed file has an empty body.
 async fn find_changes(
     store: &Store,
     publication: &Publication,
@@ -178,13 +186,40 @@
     for (service, body) in files.chain(removed) {
         let row = store.read(&stored::service_key(service)).await.map_err(Report::new)?;
         let current = row.map(|row| body_of(&row)).unwrap_or_default();
-        if *current != *body {
+        if *current != *body || publication.accept_copy {
             changes.push(json!({ "service": **service, "body": body }));
         }
     }
     Ok(changes)
 }
 
+/// Returns the writes that declare the request ids of services to be complete in the store's
+/// era: of services that are new, and of all if the operator accepts the copy. The ids of
+/// other services are settled by the daemons.
+async fn settle_services(
+    store: &Store,
+    head: &Head,
+    publication: &Publication,
+    changes: &Value,
+) -> Result<Vec<Write>, Report<Failure>> {
+    let mut writes = Vec::new();
+    if head.tag.era <= FIRST_ERA {
+        return Ok(writes);
+    }
+    let services = changes.as_array().into_iter().flatten();
+    for service in services.filter_map(|change| change["service"].as_str()) {
+        let key = settled_key(service);
+        let Cell { tag, value } = store.read_cell(&key).await.map_err(Report::new)?;
+        let file = store.read(&stored::service_key(service)).await.map_err(Report::new)?;
+        let is_new = value.is_none() && file.is_none();
+        if is_new || publication.accept_copy {
+            let value = head.tag.era.to_string().into();
+            writes.push(Write { key, condition: Condition::Tag(tag), value });
+        }
+    }
+    Ok(writes)
+}
+
 fn body_of(row: &Row) -> Box<str> {
     let value: Value = serde_json::from_str(&row.value).unwrap_or_default();
     value["body"].as_str().unwrap_or_default().into()
--- a/crates/config/src/stored.rs
+++ b/crates/config/src/stored.rs
@@ -19,8 +19,9 @@
 /// Maximum size of a row, in bytes. A log entry is one row and holds all files of its
 /// revision.
 pub const MAX_ROW_BYTES: usize = 64 * 1024;
-/// Maximum number of files that one revision may change. A transaction of the store holds at
-/// most 100 rows.
+/// Maximum number of rows in a transaction of the store.
+pub const MAX_TRANSACTION_ROWS: usize = 100;
+/// Maximum number of files that one revision may change.
 pub const MAX_FILES: usize = 90;
 
 /// Range of the revisions of one era of the store.
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -7,7 +7,7 @@
 use once::{ClaimDecision, Nonce, Row, State, WriteResult, decide_claim};
 use store::{Cell, CommitResult, Condition, Failure, Tag, Write};
 
-use crate::{names, storage};
+use crate::{names, settlement, storage};
 
 /// Maximum number of reads to find out whether a write took effect.
 const READ_BACK_ATTEMPTS: u32 = 3;
@@ -38,11 +38,21 @@
 pub(crate) struct Claims {
     kernel: Kernel,
     store: Mailbox<storage::Message>,
+    settlement: Mailbox<settlement::Message>,
 }
 
 impl Claims {
     pub(crate) fn new(kernel: &Kernel) -> Self {
-        Self { kernel: kernel.clone(), store: kernel.service(names::STORE) }
+        Self {
+            kernel: kernel.clone(),
+            store: kernel.service(names::STORE),
+            settlement: kernel.service(names::SETTLEMENT),
+        }
+    }
+
+    /// Whether a row that was absent at `tag` was never written.
+    pub(crate) async fn is_absence_certain(&self, service: &str, tag: Tag) -> bool {
+        settlement::is_settled(&self.kernel, service, tag.era).await
     }
 
     /// Reads the row of a request id.
@@ -77,6 +87,9 @@
         let tag = tag.or(read_back.as_ref().map(|current| current.tag));
         let read_back = read_back.as_ref().map(|current| current.row.as_ref());
         let decision = decide_claim(write_result, read_back, row.fingerprint, row.nonce);
+        if let (ClaimDecision::Run, Some(tag)) = (decision, tag) {
+            self.remember(service, id, row, tag);
+        }
         ClaimResult { decision, tag }
     }
 
@@ -92,16 +105,24 @@
     ) -> bool {
         let row = Row { fingerprint, nonce, state: State::Refused };
         for _ in 0..REFUSAL_ATTEMPTS {
-            let write_result = self.write(service, id, tag, &row).await.0;
+            let (write_result, new_tag) = self.write(service, id, tag, &row).await;
             match write_result {
-                WriteResult::Done => return true,
+                WriteResult::Done => {
+                    if let Some(new_tag) = new_tag {
+                        self.remember(service, id, &row, new_tag);
+                    }
+                    return true;
+                }
                 WriteResult::NotSent | WriteResult::Restored => return false,
                 WriteResult::TagMismatch | WriteResult::Unknown => {}
             }
             let current = self.read_back(service, id, nonce, write_result).await;
             let current = current.filter(|current| current.tag.era == tag.era);
             match current.and_then(|current| Some((current.tag, current.row?))) {
-                Some((_, current)) if current == row => return true,
+                Some((current_tag, current)) if current == row => {
+                    self.remember(service, id, &row, current_tag);
+                    return true;
+                }
                 // Another copy was refused in the meantime. A copy that was sent after that
                 // may still be in flight and hold the tag of that refusal, so the tag must
                 // be replaced as well.
@@ -117,7 +138,9 @@
     /// Records that a request has ended. A failed write is ignored: the row then still
     /// names the node that holds the claim, and with it the answer.
     pub(crate) async fn record_end(&self, service: &str, id: &str, tag: Tag, row: &Row) {
-        let _ = self.write(service, id, tag, row).await;
+        if let (WriteResult::Done, Some(tag)) = self.write(service, id, tag, row).await {
+            self.remember(service, id, row, tag);
+        }
     }
 
     /// Writes a row if it still has this tag. Returns the new tag, if the write is done.
@@ -143,6 +166,12 @@
         }
     }
 
+    /// Keeps a row that the store has acknowledged, in case that it comes back without it.
+    fn remember(&self, service: &str, id: &str, row: &Row, tag: Tag) {
+        let (key, text) = (row_key(service, id), row.to_text().into());
+        self.settlement.send(settlement::Message::Written { key, text, tag });
+    }
+
     /// Reads a row after a write that failed or may have failed. If the answer to the write
     /// was lost, a row without its nonce is read again, because the write may still take
     /// effect. Returns `None` if the row could not be read.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -285,6 +285,15 @@
             once::ArrivalDecision::Recall { node, ended } => {
                 self.recall(call, deadline, node, ended).await
             }
+            once::ArrivalDecision::Proceed
+                if !self.claims.is_absence_certain(&call.service, tagged_row.tag).await =>
+            {
+                // The store may have lost the row of a copy that has run.
+                Answer {
+                    retry_after: STORE_RETRY_AFTER,
+                    ..Answer::refusal(Outcome::Unknown, Reason::StoreRestored, self.node)
+                }
+            }
             once::ArrivalDecision::Proceed => {
                 let tag = tagged_row.tag;
                 let answer = self.dispatcher.dispatch(call, deadline, &tag.to_string()).await;
@@ -328,7 +337,11 @@
         let tag = match tag {
             Some(tag) => Some(tag),
             None => match self.claims.read(&call.service, &call.id).await {
-                Ok(TaggedRow { tag, row: None }) => Some(tag),
+                Ok(TaggedRow { tag, row: None })
+                    if self.claims.is_absence_certain(&call.service, tag).await =>
+                {
+                    Some(tag)
+                }
                 Ok(TaggedRow { row: Some(row), .. }) if row.state == once::State::Refused => {
                     return answer;
                 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -33,6 +33,7 @@
 mod peers;
 mod router;
 pub mod settings;
+mod settlement;
 mod storage;
 mod target;
 
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -6,4 +6,5 @@
 pub(crate) const MEMBERSHIP: &str = "membership";
 pub(crate) const PEERS: &str = "peers";
 pub(crate) const ROUTER: &str = "router";
+pub(crate) const SETTLEMENT: &str = "settlement";
 pub(crate) const STORE: &str = "store";
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,8 +21,10 @@
 use crate::entry::Entry;
 use crate::logs::Log;
 use crate::settings::Settings;
+use crate::settlement::Claimer;
 use crate::{
-    admin, aux_listeners, configuration, guard, journal, membership, names, peers, router, storage,
+    admin, aux_listeners, configuration, guard, journal, membership, names, peers, router,
+    settlement, storage,
 };
 
 /// Limits on the connections and requests of callers.
@@ -116,6 +118,8 @@
     entry: Rc<Entry>,
     callers: ServerHandle,
     aux_listeners: aux_listeners::AuxListeners,
+    /// `None` if this daemon claims no requests.
+    claimer: Option<Claimer>,
 }
 
 fn start(
@@ -149,6 +153,13 @@
     let bootstrap_peers = settings.peers.clone();
     membership::start(kernel, socket, local, bootstrap_peers, settings.join_within, seed)
         .describe(|| "cannot start gossip".into())?;
+    settlement::start(kernel);
+    // With a route table, requests have no rows in the store.
+    let uses_claims = adapter.read_route_table.is_none();
+    let claimer = claimer(settings, node).filter(|_| uses_claims);
+    if uses_claims {
+        kernel.start(settlement::follow_eras(kernel.clone(), claimer.clone()));
+    }
     let guard = guard::start(kernel, node, adapter, settings.target.as_ref(), discipline);
     configuration::start(kernel, node, adapter, &settings.peers, settings.join_within);
     serve_peers(kernel, peer_listener, uplink, rpc_handler(kernel, node, guard.clone()))
@@ -166,7 +177,7 @@
         Rc::new(move |request| Box::pin(handler.clone().handle(request))),
     )
     .describe(|| "cannot serve callers".into())?;
-    Ok(Running { entry, callers, aux_listeners })
+    Ok(Running { entry, callers, aux_listeners, claimer })
 }
 
 /// Announces that the target accepts no new requests.
@@ -187,7 +198,7 @@
     settings: &Settings,
 ) -> Stopped {
     let time_limit = settings.stop_within;
-    let Running { entry, callers, aux_listeners } = running;
+    let Running { entry, callers, aux_listeners, claimer } = running;
     let busy = callers.busy_connections();
     aux_listeners.leave();
     // A target that announces itself may keep running while its daemon is replaced, and
@@ -232,6 +243,9 @@
         log::warn!("the wait for requests in flight is over");
     }
     let cut = in_flight(kernel, &entry, &busy).await;
+    if let Some(claimer) = claimer.filter(|_| cut == 0) {
+        settlement::close(kernel, &claimer).await;
+    }
     let membership: Mailbox<membership::Message> = kernel.service(names::MEMBERSHIP);
     membership.send(membership::Message::AnnounceLeft);
     // The service handles messages in order, so the reply shows that it has handled the
@@ -272,6 +286,12 @@
     }
 }
 
+/// Returns what identifies this daemon in its claims; `None` without a target.
+fn claimer(settings: &Settings, node: u64) -> Option<Claimer> {
+    let Member { address, service, .. } = local_member(settings, node);
+    settings.target.as_ref().map(|_| Claimer { node, address, service })
+}
+
 /// Returns a number that grows with time, made of the milliseconds since 1970 and 20 random
 /// bits.
 fn new_node_id(clock_behind: Duration) -> u64 {
--- a/crates/lab/tests/restore.rs
+++ b/crates/lab/tests/restore.rs
@@ -247,3 +247,102 @@
     };
     assert!(wait_until(SETTLE_TIMEOUT, has_contacts).is_some(), "no contact row is written");
 }
+
+/// Publishes the file of `desk`.
+fn publish_desk(fleet: &Fleet, accept_copy: bool) -> Result<u64, String> {
+    let publication = cli::publish::Publication {
+        id: format!("{:x}", fastrand::u64(..)).into(),
+        who: "operator".into(),
+        files: vec![cli::files::ServiceFile { service: "desk".into(), body: desk("2s") }],
+        remove: Vec::new(),
+        accept_copy,
+    };
+    let result =
+        with_store(fleet.platform, async |store| cli::publish::publish(&store, publication).await);
+    match result.map_err(|report| format!("{report:?}"))?.0 {
+        cli::publish::PublishResult::Accepted { revision, .. } => Ok(revision),
+        other => Err(format!("{other:?}")),
+    }
+}
+
+/// Guards against a publication that is based on a copy although nobody knows what it lacks.
+#[test]
+fn a_copy_that_no_daemon_can_confirm_is_used_only_if_the_operator_accepts_it() {
+    let mut fleet = fleet(1);
+    fleet.set_faults(&json!({ "copy": true }));
+    assert_eq!(order(&fleet, 0, "paid").status, 200);
+    fleet.hosts[0].daemon = None;
+    fleet.set_faults(&json!({ "restore": true }));
+    fleet.start_daemon(0).expect("the daemon starts");
+    fleet.wait_until_ready(SETTLE_TIMEOUT).expect("the daemon is ready");
+    let refused = publish_desk(&fleet, false).expect_err("nobody has confirmed the head");
+    assert!(refused.contains("no daemon has confirmed"), "{refused}");
+    let unsettled = order(&fleet, 0, "fresh");
+    assert_eq!((unsettled.status, &*unsettled.reason), (503, "store-restored"), "{unsettled:?}");
+    assert!(unsettled.retry_after.is_some(), "{unsettled:?}");
+    let revision = publish_desk(&fleet, true).expect("the operator accepts the copy");
+    assert!(wait_until(CONFIG_LIMIT, || is_in_force(&fleet, revision)).is_some());
+    assert_eq!(order(&fleet, 0, "fresh").status, 200);
+    assert!(publish_desk(&fleet, false).expect_err("nothing differs").contains("Unchanged"));
+}
+
+/// Guards against a claim of a paused daemon that is not waited for. The daemon also meets a
+/// second restore before it has reported what it wrote in the first era.
+#[test]
+fn requests_wait_for_the_rows_of_a_paused_daemon_across_two_restores() {
+    let mut fleet = fleet(2);
+    // Host 0 is drained, so that host 1 claims the request.
+    cli::admin::AdminClient::default()
+        .post(fleet.hosts[0].admin, "/drain", &serde_json::Value::Null)
+        .expect("the admin page responds");
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.set_faults(&json!({ "copy": true }));
+    assert_eq!(order(&fleet, 0, "paid").status, 200);
+    fleet.hosts[1].daemon.as_ref().expect("the daemon is running").signal("STOP");
+    for _ in 0..2 {
+        fleet.set_faults(&json!({ "restore": true }));
+        for _ in 0..15 {
+            let again = order(&fleet, 0, "paid");
+            assert_eq!((again.status, &*again.outcome), (503, "unknown"), "{again:?}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+    fleet.hosts[1].daemon.as_ref().expect("the daemon is running").signal("CONT");
+    let is_known = || {
+        let again = order(&fleet, 0, "paid");
+        (again.status, &*again.outcome) == (200, "ran")
+    };
+    assert!(wait_until(SETTLE_TIMEOUT, is_known).is_some(), "the first answer is repeated");
+    assert_eq!(runs(&mut fleet, "paid"), 1);
+}
+
+/// Guards against services that stay unsettled because of daemons which ended long before the
+/// copy was made, by a planned stop or killed and started again.
+#[test]
+fn daemons_that_ended_before_the_copy_are_not_waited_for() {
+    let mut fleet = fleet(3);
+    fleet.hosts[1].daemon.as_ref().expect("the daemon is running").signal("TERM");
+    let has_stopped = wait_until(SETTLE_TIMEOUT, || {
+        fleet.hosts[0].state().is_some_and(|state| {
+            let members = state["members"].as_array().cloned().unwrap_or_default();
+            members.iter().any(|member| member["state"] == "left")
+        })
+    });
+    assert!(has_stopped.is_some(), "the daemon has stopped");
+    fleet.hosts[1].daemon = None;
+    for _ in 0..2 {
+        fleet.hosts[2].daemon = None;
+        fleet.start_daemon(2).expect("the daemon starts");
+        let is_back = || fleet.hosts[2].state().is_some_and(|state| state["revision"] != 0);
+        assert!(wait_until(SETTLE_TIMEOUT, is_back).is_some(), "the daemon is ready");
+        // Its record of the start is written after its first response from the store.
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    fleet.set_faults(&json!({ "copy": true }));
+    assert_eq!(order(&fleet, 0, "paid").status, 200);
+    fleet.set_faults(&json!({ "restore": true }));
+    let fresh = wait_until(SETTLE_TIMEOUT, || order(&fleet, 0, "fresh").status == 200);
+    assert!(fresh.is_some(), "new requests run again after the restore");
+    assert_ne!(order(&fleet, 2, "paid").outcome, "not-run");
+    assert_eq!(runs(&mut fleet, "paid"), 1);
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -20,7 +20,9 @@
 mod claim;
 mod duplicate_cache;
 mod row;
+mod row_log;
 
 pub use claim::{ArrivalDecision, ClaimDecision, WriteResult, decide_arrival, decide_claim};
 pub use duplicate_cache::{DuplicateCache, Execution, Lookup};
-pub use row::{Fingerprint, Nonce, Row, State, fingerprint};
+pub use row::{Fingerprint, Nonce, Row, State, fingerprint, settled_key};
+pub use row_log::{Created, LoggedRow, RowLog};
--- a/crates/once/src/row.rs
+++ b/crates/once/src/row.rs
@@ -80,6 +80,12 @@
     }
 }
 
+/// Returns the key of the row that names the latest era of the store in which an absent row
+/// of a service's request ids was never written.
+pub fn settled_key(service: &str) -> Box<str> {
+    format!("settled/{service}").into()
+}
+
 /// Returns the fingerprint of a request. The hash is FNV-1a, so that it is the same in all
 /// processes and versions.
 pub fn fingerprint(service: &str, method: &str, path: &str, body: &[u8]) -> Fingerprint {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -43,4 +43,6 @@
 pub use batch::{Batch, commit_each};
 pub use circuit::CircuitBreaker;
 pub use client::{CommitResult, Failure, Settings, Store};
-pub use row::{Cell, Condition, Era, Position, Row, Rows, StoreProtocol, Tag, Version, Write};
+pub use row::{
+    Cell, Condition, Era, FIRST_ERA, Position, Row, Rows, StoreProtocol, Tag, Version, Write,
+};
--- a/crates/store/src/row.rs
+++ b/crates/store/src/row.rs
@@ -17,6 +17,9 @@
 /// from an older copy, which may lose acknowledged writes and issues their versions again.
 pub type Era = u64;
 
+/// Era of a store that has never come back from a copy.
+pub const FIRST_ERA: Era = 1;
+
 /// A version of the store. Versions of different eras are not comparable.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Position {
