Soak: the store comes back from older copies, on both interfaces

On the project's own interface one fault in three is accompanied by a restore from a copy made before it, and an order is sent again up to 2.5 s later through another daemon, so that the two copies lie on both sides of a restore.

Settling a service after a restore: only its two earliest daemons look at the records often; a daemon that has just started does not compare files with the store where the head is confirmed. /state has store_era, bronzeport_service_unsettled.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -190,12 +190,14 @@
         let guard = guard.request(|reply| guard::Message::State { reply }).await;
         let members = membership.request(|reply| membership::Message::All { reply }).await;
         let is_down = store.request(|reply| storage::Message::IsDown { reply }).await;
+        let era = store.request(|reply| storage::Message::Era { reply }).await.flatten();
         json!({
             "node": format!("{:016x}", self.node),
             "version": env!("CARGO_PKG_VERSION"),
             "revision": configuration.map_or(0, |state| state.revision),
             "revision_may_be_old": configuration.is_none_or(|state| state.may_be_old),
             "platform_down": is_down.unwrap_or(true),
+            "store_era": era,
             "target": guard.map(guard_json),
             "members": members.unwrap_or_default().iter().map(member_json).collect::<Vec<_>>(),
         })
--- a/crates/daemon/src/configuration/recovery.rs
+++ b/crates/daemon/src/configuration/recovery.rs
@@ -52,7 +52,8 @@
             // Whatever comes into force now is in the store in this era.
             self.recovered_era = Some(era);
         }
-        self.recovered_era != Some(era) || stored.head.revision < in_force
+        let may_know_more = self.knows_earlier_era(era) || stored.head.is_unconfirmed_in(era);
+        stored.head.revision < in_force || (self.recovered_era != Some(era) && may_know_more)
     }
 
     /// Whether this daemon has seen the store before it came back as it is in `era`.
--- a/crates/daemon/src/settlement.rs
+++ b/crates/daemon/src/settlement.rs
@@ -31,6 +31,9 @@
 const ROW_RETENTION: Duration = Duration::from_secs(600);
 /// Pause after a failed call, and first pause between two looks at the records of others.
 const MIN_PAUSE: Duration = Duration::from_millis(200);
+/// Number of daemons of a service that look at the records often: those with the lowest node
+/// numbers. The others do so at long intervals, since each look is two reads.
+const SETTLERS: usize = 2;
 /// Longest pause between two looks at the records of others.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 /// Time limit for the record of a planned stop.
@@ -268,17 +271,29 @@
     if !knows_earlier_era {
         return;
     }
-    let mut pause = MIN_PAUSE;
+    let unsettled = metrics::gauge!("bronzeport_service_unsettled");
+    unsettled.set(1.0);
+    let mut pause = match claimers.keys().filter(|node| **node < claimer.node).count() {
+        ..SETTLERS => MIN_PAUSE,
+        _ => MAX_PAUSE,
+    };
+    let mut is_logged = false;
     loop {
         add_members(kernel, &claimer.service, &mut claimers).await;
         match try_settle(kernel, claimer, &claimers, era).await {
-            Ok(Progress::Settled) => return,
-            Ok(Progress::Missing(nodes)) if pause == MIN_PAUSE => log::warn!(
-                "requests of {} that must not be repeated are refused unless the store has their \
-                 rows: these daemons have not reported their rows in era {era}: {}",
-                claimer.service,
-                nodes.join(" ")
-            ),
+            Ok(Progress::Settled) => {
+                unsettled.set(0.0);
+                return;
+            }
+            Ok(Progress::Missing(nodes)) if pause == MAX_PAUSE && !is_logged => {
+                log::warn!(
+                    "requests of {} that must not be repeated are refused unless the store has \
+                     their rows: these daemons have not reported in era {era}: {}",
+                    claimer.service,
+                    nodes.join(", ")
+                );
+                is_logged = true;
+            }
             Ok(Progress::Missing(_)) => {}
             Err(failure) => log::info!("cannot settle {}: {failure}", claimer.service),
         }
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -43,6 +43,8 @@
     EraChanged(Era),
     /// Returns the latest era of the store once it is greater than `after`.
     AwaitEra { after: Era, reply: Reply<Era> },
+    /// Returns the latest era of the store; `None` before its first response.
+    Era { reply: Reply<Option<Era>> },
     /// The number of members in the fleet has changed to this value.
     MemberCount(usize),
     /// Returns whether the platform is considered down.
@@ -122,6 +124,7 @@
                     self.awaiting_era.push((after, reply));
                 }
             },
+            Message::Era { reply } => drop(reply.send(self.era)),
             Message::MemberCount(count) => {
                 self.reads.set_share(FLEET_READS_PER_SECOND, count);
                 self.writes.set_share(FLEET_WRITES_PER_SECOND, count);
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -151,12 +151,12 @@
         Self { kinds, calls, entries }
     }
 
-    /// Sends each call of a kind a second time, up to 300 ms later and through the next
+    /// Sends each call of a kind a second time, later by at most `within` and through the next
     /// entry, as a caller does that retries too early.
-    pub fn with_duplicates(mut self, kind: &str) -> Self {
+    pub fn with_duplicates(mut self, kind: &str, within: Duration) -> Self {
         let originals = self.calls.iter().filter(|call| *self.kinds[call.kind].name == *kind);
         let duplicates = originals.map(|call| PlannedCall {
-            at: call.at + Duration::from_millis(call.number % 300),
+            at: call.at + within.mul_f64((call.number % 300) as f64 / 300.0),
             entry: (call.entry + 1) % self.entries.len(),
             ..call.clone()
         });
--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -39,6 +39,7 @@
 pub struct Counts {
     rounds: usize,
     faults: usize,
+    restores: usize,
     calls: usize,
     publishes: usize,
     ran_twice: usize,
@@ -50,6 +51,14 @@
     late_drain: usize,
 }
 
+/// Time within which an order is sent again. Most faults last for less.
+const RESEND_PERIOD: Duration = Duration::from_millis(2500);
+/// One in this many faults is accompanied by a restore of the store from a copy that was made
+/// before it.
+const FAULTS_PER_RESTORE: u8 = 3;
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_DURATION: Duration = Duration::from_millis(200);
+
 /// A fault. Each one is reverted before the next one is injected.
 #[derive(Debug, Clone, Copy)]
 enum Fault {
@@ -83,19 +92,35 @@
 fn run_round(seed: u64, counts: &mut Counts) -> Result<(), Box<str>> {
     let mut fleet = Fleet::start(plan(seed))?;
     let mut random = fastrand::Rng::with_seed(seed);
+    // Drawn apart from the faults, so that a seed keeps these.
+    let mut restores = random.clone();
+    restores.u64(..);
     let kinds = vec![
         kind("read", "desk", "GET", "/read/#", 100.0, 1000),
         kind("order", "desk", "POST", "/orders", 20.0, 1000),
     ];
     let entries = fleet.hosts.iter().map(|host| host.callers).collect();
     // Sends each order twice, through two consecutive daemons.
-    let load = Load::new(kinds, entries, ROUND_DURATION, &[], seed).with_duplicates("order");
+    let load = Load::new(kinds, entries, ROUND_DURATION, &[], seed)
+        .with_duplicates("order", RESEND_PERIOD);
     let records = std::thread::scope(|scope| {
         let calls = scope.spawn(|| load.run(async {}));
         while !calls.is_finished() {
             let fault = pick_fault(&mut random);
             counts.faults += 1;
-            inject(&mut fleet, fault, &mut random, counts)?;
+            let is_restored = restores.u8(..FAULTS_PER_RESTORE) == 0;
+            if is_restored {
+                fleet.set_faults(&json!({ "copy": true }));
+            }
+            counts.cut_off += inject(&mut fleet, fault, &mut random)?;
+            if is_restored {
+                counts.restores += 1;
+                eprintln!("  the store comes back from a copy made before");
+                fleet.set_faults(&json!({ "down": true }));
+                std::thread::sleep(RESTORE_DURATION);
+                fleet.set_faults(&json!({ "down": false, "restore": true }));
+            }
+            publish(&fleet, counts)?;
         }
         calls.join().map_err(|_| Box::<str>::from("the load generator panicked"))
     })?;
@@ -131,15 +156,11 @@
     }
 }
 
-/// Injects a fault, reverts it and publishes a change afterwards.
-fn inject(
-    fleet: &mut Fleet,
-    fault: Fault,
-    random: &mut fastrand::Rng,
-    counts: &mut Counts,
-) -> Result<(), Box<str>> {
+/// Injects a fault and reverts it. Returns the number of planned stops that cut requests off.
+fn inject(fleet: &mut Fleet, fault: Fault, random: &mut fastrand::Rng) -> Result<usize, Box<str>> {
     let duration = Duration::from_millis(random.u64(100..900));
     eprintln!("  {fault:?} for {duration:?}");
+    let mut cut_off = 0;
     match fault {
         Fault::KillDaemon(host) => {
             fleet.hosts[host].daemon = None;
@@ -171,12 +192,12 @@
             if let Some(mut daemon) = fleet.hosts[host].daemon.take() {
                 daemon.signal("TERM");
                 let status = daemon.wait(Duration::from_secs(10));
-                counts.cut_off += usize::from(!status.is_some_and(|status| status.success()));
+                cut_off = usize::from(!status.is_some_and(|status| status.success()));
             }
             fleet.start_daemon(host)?;
         }
     }
-    publish(fleet, counts)
+    Ok(cut_off)
 }
 
 fn pause(process: Option<&Process>, duration: Duration) {
@@ -275,6 +296,7 @@
         json!({
             "rounds": self.rounds,
             "faults": self.faults,
+            "restores": self.restores,
             "calls": self.calls,
             "publishes": self.publishes,
             "ran_twice": self.ran_twice,
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -130,6 +130,8 @@
     undo: Vec<(Duration, Undo, usize)>,
     observations: Observations,
     revision: u64,
+    /// The latest configuration that the store has acknowledged.
+    configuration: Option<Write>,
     monitor: Arc<Monitor>,
     monitor_thread: Option<JoinHandle<()>>,
 }
@@ -153,6 +155,7 @@
             undo: Vec::new(),
             observations: Observations::default(),
             revision: 0,
+            configuration: None,
             monitor: Arc::default(),
             monitor_thread: None,
         };
@@ -290,9 +293,11 @@
             condition: Condition::Always,
             value: config.to_string().into(),
         };
-        let commit = with_store(self.store, async |store| store.commit(vec![write]).await);
+        let writes = vec![write.clone()];
+        let commit = with_store(self.store, async |store| store.commit(writes).await);
         if matches!(commit, CommitResult::Done(_)) {
             self.revision = revision;
+            self.configuration = Some(write);
             self.observations.config_writes.push((revision, unix_millis()));
         }
         // A write whose response was lost may still take effect, so its revision is not used
@@ -301,6 +306,16 @@
         Ok(())
     }
 
+    /// Writes the latest acknowledged configuration again, as operators do when the store has
+    /// come back from an older copy.
+    fn write_configuration_again(&self) {
+        let writes: Vec<Write> = self.configuration.iter().cloned().collect();
+        let commit = with_store(self.store, async |store| store.commit(writes).await);
+        if !matches!(commit, CommitResult::Done(_)) {
+            eprintln!("soak: the configuration is not written again: {commit:?}");
+        }
+    }
+
     fn start_target(&mut self, host: usize) -> Result<(), Box<str>> {
         let args = self.hosts[host].with_clock(&self.hosts[host].target_args);
         self.hosts[host].target_process = Some(process::start(&args, None)?);
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -48,6 +48,7 @@
     RestorePeerLink(usize),
     RestoreStoreLink(usize),
     ResetStore,
+    RestoreStore,
     Nothing,
 }
 
@@ -147,6 +148,14 @@
                 store(json!({ "drop_history": true }));
                 (FaultLocation::Store, Duration::ZERO, Undo::Nothing)
             }
+            CopyStore => {
+                store(json!({ "copy": true }));
+                return Ok(());
+            }
+            RestoreStore => {
+                store(json!({ "down": true }));
+                (FaultLocation::Store, step.duration, Undo::RestoreStore)
+            }
             Configure => {
                 self.configure()?;
                 return Ok(());
@@ -260,17 +269,22 @@
             Undo::RestoreTargetLink(host) => self.hosts[host].target_proxy.set(proxy::Fault::None),
             Undo::RestorePeerLink(host) => self.hosts[host].peer_proxy.set(proxy::Fault::None),
             Undo::RestoreStoreLink(host) => self.hosts[host].store_proxy.set(proxy::Fault::None),
-            Undo::ResetStore => {
-                let none = json!({
-                    "down": false, "silent": false, "slow_ms": 1, "lose_answers": 0.0,
-                });
-                post(self.store, "/faults", &none);
+            Undo::ResetStore => self.reset_store(),
+            Undo::RestoreStore => {
+                post(self.store, "/faults", &json!({ "restore": true }));
+                self.reset_store();
+                self.write_configuration_again();
             }
             Undo::Nothing => {}
         }
         Ok(true)
     }
 
+    fn reset_store(&self) {
+        let none = json!({ "down": false, "silent": false, "slow_ms": 1, "lose_answers": 0.0 });
+        post(self.store, "/faults", &none);
+    }
+
     /// Restarts a stopped daemon after its exit.
     fn await_stop(
         &mut self,
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -13,6 +13,11 @@
 const CLOCK_STEPS: usize = 1;
 /// Additional limits on request rates, drawn and numbered after all other steps.
 const LIMIT_STEPS: usize = 2;
+/// Additional restores of the store from an older copy, drawn and numbered after all other
+/// steps. Each is two steps: the copy is made, and the store comes back with it.
+const RESTORES: usize = 2;
+/// Greatest age of a copy, in milliseconds.
+const MAX_COPY_AGE_MS: u64 = 9000;
 /// Time for which a target limits its rate: a limit must be kept from 3 s after it is named,
 /// and requests are counted over 4 s.
 const LIMIT_DURATION: Duration = Duration::from_secs(9);
@@ -70,6 +75,11 @@
     StoreLosesAnswers,
     /// Makes the store drop its change history.
     StoreForgets,
+    /// Makes a copy of the store. Excuses nothing.
+    CopyStore,
+    /// Makes the store respond with 503 and then come back from its latest copy. Operators
+    /// write their configuration again.
+    RestoreStore,
     /// Changes the configuration, as operators do.
     Configure,
     /// Holds back bytes and drops datagrams from other daemons to this one, but not in the
@@ -107,6 +117,13 @@
         duration: LIMIT_DURATION,
         ..generate_step(|random, hosts| Fault::LimitTarget(random.usize(..hosts)))
     }));
+    for _ in 0..RESTORES {
+        let restore = generate_step(|_, _| Fault::RestoreStore);
+        let copy = generate_step(|_, _| Fault::CopyStore);
+        let age = Duration::from_millis(copy.duration.as_millis() as u64 * 3 % MAX_COPY_AGE_MS);
+        steps.push(Step { at: restore.at.saturating_sub(age), ..copy });
+        steps.push(restore);
+    }
     steps
 }
 
