--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -349,7 +349,7 @@
     node: u64,
     bootstrap_peers: Vec<Box<str>>,
 ) {
-    let mut progress = recovery::Progress::default();
+    let mut eras = recovery::Eras::default();
     for peer in bootstrap_peers.into_iter().take(MAX_BOOTSTRAP_PEERS) {
         pull_all(&kernel, &mailbox, peer, 0, Revision::MAX).await;
     }
@@ -358,11 +358,11 @@
             mailbox.request(|reply| Message::State { reply }).await.map_or(0, |s| s.revision);
         let head = read_head(&kernel).await;
         if let Ok(stored) = head {
-            let must_recover = progress.must_recover(stored, revision);
+            let must_recover = eras.must_recover(stored, revision);
             if stored.head.revision > revision {
                 read_changes(&kernel, &mailbox, revision, stored.head.revision).await;
             } else if must_recover
-                && let Err(failure) = progress.recover(&kernel, &mailbox, node, stored).await
+                && let Err(failure) = eras.recover(&kernel, &mailbox, node, stored).await
             {
                 log::warn!("cannot write again what the store has lost: {failure}");
             }
--- a/crates/daemon/src/configuration/recovery.rs
+++ b/crates/daemon/src/configuration/recovery.rs
@@ -27,7 +27,7 @@
 
 /// What a daemon knows of the eras of the store.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Progress {
+pub(super) struct Eras {
     /// Era of the first response to this daemon.
     first_era: Option<Era>,
     /// Latest era in which the store has all publications that this daemon has in force.
@@ -43,7 +43,7 @@
     Write(Vec<Change>),
 }
 
-impl Progress {
+impl Eras {
     /// Whether the store may have lost publications that this daemon has in force.
     pub(super) fn must_recover(&mut self, stored: StoredHead, in_force: Revision) -> bool {
         let era = stored.tag.era;
@@ -119,11 +119,13 @@
         let state = mailbox.request(|reply| Message::State { reply }).await;
         let in_force = state.map_or(0, |state| state.revision);
         let revision = stored::next_revision(in_force.max(head.revision), tag.era);
-        lost.truncate(count_fitting(&lost));
+        let fitting = count_fitting(&lost);
+        let is_last = fitting == lost.len();
+        lost.truncate(fitting);
         for file in &mut lost {
             file.revision = revision;
         }
-        let era = match self.knows_earlier_era(tag.era) {
+        let era = match is_last && self.knows_earlier_era(tag.era) {
             true => Some(tag.era),
             false => head.era,
         };
--- a/crates/lab/tests/restore.rs
+++ b/crates/lab/tests/restore.rs
@@ -96,6 +96,31 @@
     assert!((0..2).all(|host| knows_archive(&fleet, host)), "the service is unknown");
 }
 
+/// Guards against files that stay lost because one revision cannot hold them all, and against a
+/// publication in between.
+#[test]
+fn more_lost_files_than_one_revision_holds_are_all_written_again() {
+    let fleet = fleet(1);
+    fleet.set_faults(&json!({ "copy": true }));
+    let mut lost = 0;
+    for batch in 0..2 {
+        let files: Vec<(Box<str>, Box<str>)> = (0..60)
+            .map(|number| {
+                let name = format!("service-{batch}-{number}");
+                (name.as_str().into(), archive().replace("archive", &name).into())
+            })
+            .collect();
+        lost = fleet.publish(&files).expect("the publication is accepted");
+    }
+    assert!(wait_until(CONFIG_LIMIT, || is_in_force(&fleet, lost)).is_some());
+    fleet.set_faults(&json!({ "restore": true }));
+    publish(&fleet, "desk", desk("5s"));
+    let stored = with_store(fleet.platform, async |store| {
+        store.list("config/service/", "", 500).await.expect("the platform responds").len()
+    });
+    assert_eq!(stored, 121, "a publication is accepted only when all files are back");
+}
+
 /// Guards against a request with a key that runs a second time because the restored store has
 /// no claim of it and the daemon that ran it has restarted.
 #[test]
