Settlement: rows of one transaction, of lost responses and of others are told apart

Cause: the log of written rows took the order of creation as known where it was not, and so stopped too early when writing them again. - Rows of one transaction have the same version; the later one replaced the earlier in the log. Slow stores make large transactions. This was the case in the traces. - A row that another daemon has changed may have been written again by that one. It shows nothing of the copy unless it has this daemon's own nonce. - A row whose write had no result before the next restore may have been written by that write.

The soak prints what daemons know of such requests.

--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -88,7 +88,7 @@
         let read_back = read_back.as_ref().map(|current| current.row.as_ref());
         let decision = decide_claim(write_result, read_back, row.fingerprint, row.nonce);
         if let (ClaimDecision::Run, Some(tag)) = (decision, tag) {
-            self.remember(service, id, row, tag);
+            self.remember(service, id, row, arrival_tag, tag);
         }
         ClaimResult { decision, tag }
     }
@@ -109,7 +109,7 @@
             match write_result {
                 WriteResult::Done => {
                     if let Some(new_tag) = new_tag {
-                        self.remember(service, id, &row, new_tag);
+                        self.remember(service, id, &row, tag, new_tag);
                     }
                     return true;
                 }
@@ -120,7 +120,7 @@
             let current = current.filter(|current| current.tag.era == tag.era);
             match current.and_then(|current| Some((current.tag, current.row?))) {
                 Some((current_tag, current)) if current == row => {
-                    self.remember(service, id, &row, current_tag);
+                    self.remember(service, id, &row, tag, current_tag);
                     return true;
                 }
                 // Another copy was refused in the meantime. A copy that was sent after that
@@ -138,8 +138,8 @@
     /// Records that a request has ended. A failed write is ignored: the row then still
     /// names the node that holds the claim, and with it the answer.
     pub(crate) async fn record_end(&self, service: &str, id: &str, tag: Tag, row: &Row) {
-        if let (WriteResult::Done, Some(tag)) = self.write(service, id, tag, row).await {
-            self.remember(service, id, row, tag);
+        if let (WriteResult::Done, Some(new_tag)) = self.write(service, id, tag, row).await {
+            self.remember(service, id, row, tag, new_tag);
         }
     }
 
@@ -167,9 +167,11 @@
     }
 
     /// Keeps a row that the store has acknowledged, in case that it comes back without it.
-    fn remember(&self, service: &str, id: &str, row: &Row, tag: Tag) {
+    /// `before` is the tag of the row that it replaced.
+    fn remember(&self, service: &str, id: &str, row: &Row, before: Tag, tag: Tag) {
         let (key, text) = (row_key(service, id), row.to_text().into());
-        self.settlement.send(settlement::Message::Written { key, text, tag });
+        let is_new = before.version == 0;
+        self.settlement.send(settlement::Message::Written { key, text, tag, is_new });
     }
 
     /// Reads a row after a write that failed or may have failed. If the answer to the write
--- a/crates/daemon/src/settlement.rs
+++ b/crates/daemon/src/settlement.rs
@@ -19,7 +19,7 @@
 
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::Member;
-use once::{LoggedRow, RowLog, settled_key};
+use once::{LoggedRow, Row, RowLog, settled_key};
 use route::Node;
 use serde::{Deserialize, Serialize};
 use store::{Cell, CommitResult, Condition, Era, FIRST_ERA, Failure, Tag, Write};
@@ -49,8 +49,8 @@
 /// Messages that the service handles.
 #[derive(Debug)]
 pub(crate) enum Message {
-    /// This daemon has written the row of a request id.
-    Written { key: Box<str>, text: Box<str>, tag: Tag },
+    /// This daemon has written the row of a request id, and created it if `is_new`.
+    Written { key: Box<str>, text: Box<str>, tag: Tag, is_new: bool },
     /// Returns the newest row that the store may lack in this era.
     NextUnseen { era: Era, reply: Reply<Option<LoggedRow>> },
     /// The store has a row in this era. Returns whether this shows that the copy has the rows
@@ -102,9 +102,10 @@
 pub(crate) enum RowResult {
     /// The row was lost and is written.
     Written(Tag),
-    /// The copy has the row.
+    /// The copy has the row as this daemon wrote it.
     Found,
-    /// The row is in the store, but whether the copy had it is not known.
+    /// The store has the row, but whether the copy had it is not known. Another daemon that
+    /// has changed it may have written it since.
     Unknown,
 }
 
@@ -169,12 +170,12 @@
 
     fn handle(&mut self, message: Message) {
         match message {
-            Message::Written { key, text, tag } => {
+            Message::Written { key, text, tag, is_new } => {
                 let now = self.kernel.clock().now();
-                self.log.insert(now, (tag.era, tag.version), &key, &text);
+                self.log.insert(now, (tag.era, tag.version), is_new, &key, &text);
             }
             Message::NextUnseen { era, reply } => {
-                reply.send(self.log.next_unseen(era).cloned());
+                reply.send(self.log.take_unseen(era));
             }
             Message::Seen { key, era, result, reply } => {
                 reply.send(self.observe_row(&key, era, result));
@@ -311,7 +312,7 @@
     {
         let key = row.key.clone();
         let result = write_lost_row(kernel, &row, era).await;
-        written += usize::from(!matches!(result, RowResult::Found));
+        written += usize::from(matches!(result, RowResult::Written(_)));
         let message = |reply| Message::Seen { key, era, result, reply };
         has_copy_rows |= settlement.request(message).await.unwrap_or(false);
     }
@@ -330,7 +331,7 @@
 
 /// Writes a row again if it does not exist.
 async fn write_lost_row(kernel: &Kernel, row: &LoggedRow, era: Era) -> RowResult {
-    let mut may_be_written = false;
+    let mut may_be_written = row.may_be_written;
     retry(kernel, "write a lost row again", async || {
         let write = Write {
             key: row.key.clone(),
@@ -342,7 +343,14 @@
                 Ok(tags.first().map_or(RowResult::Unknown, |tag| RowResult::Written(*tag)))
             }
             CommitResult::Conflict(_) if may_be_written => Ok(RowResult::Unknown),
-            CommitResult::Conflict(_) => Ok(RowResult::Found),
+            CommitResult::Conflict(_) => {
+                let Cell { tag, value } = read(kernel, row.key.clone()).await?;
+                let is_own = value.is_some_and(|text| is_same_attempt(&text, &row.text));
+                match tag.era == era && is_own {
+                    true => Ok(RowResult::Found),
+                    false => Ok(RowResult::Unknown),
+                }
+            }
             CommitResult::NotSent(failure) => Err(failure),
             CommitResult::Restored | CommitResult::Unknown => {
                 may_be_written = true;
@@ -353,6 +361,12 @@
     .await
 }
 
+/// Whether two texts of a row were written by the same attempt.
+fn is_same_attempt(text: &str, other: &str) -> bool {
+    let nonce = |text| Row::try_from(text).map(|row| row.nonce).ok();
+    nonce(text).is_some() && nonce(text) == nonce(other)
+}
+
 /// Records that all rows which this daemon has written are in the store.
 async fn report(kernel: &Kernel, claimer: &Claimer, era: Era) -> Result<(), Failure> {
     let (tag, record) = read_record(kernel, claimer).await?;
--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -245,16 +245,37 @@
 
 fn check_calls(fleet: &mut Fleet, records: &[Record], counts: &mut Counts) {
     std::thread::sleep(Duration::from_millis(300));
-    counts.ran_twice += fleet.ran_twice(|id| id.starts_with("order")).len();
+    let ran_twice = fleet.ran_twice(|id| id.starts_with("order"));
+    counts.ran_twice += ran_twice.len();
     counts.wrong_answer += records.iter().filter(|record| record.is_wrong).count();
     let reported_not_run = records.iter().filter(|record| &*record.outcome == "not-run");
     let reported_not_run: Vec<Box<str>> =
         reported_not_run.map(|record| record.id.clone()).collect();
-    for id in reported_not_run {
-        if fleet.has_run(&id) {
-            eprintln!("  {id} was reported as not-run but has run");
-            counts.false_not_run += 1;
+    let false_not_run: Vec<Box<str>> =
+        reported_not_run.into_iter().filter(|id| fleet.has_run(id)).collect();
+    counts.false_not_run += false_not_run.len();
+    if !ran_twice.is_empty() || !false_not_run.is_empty() {
+        eprintln!("  ran twice: {ran_twice:?}, reported as not-run but ran: {false_not_run:?}");
+        print_records(fleet, &[ran_twice, false_not_run].concat());
+    }
+}
+
+/// Prints what the running daemons know about requests and have logged about themselves.
+fn print_records(fleet: &Fleet, ids: &[Box<str>]) {
+    let admin = cli::admin::AdminClient::default();
+    for (number, host) in fleet.hosts.iter().enumerate() {
+        for id in ids {
+            match admin.get(host.admin, &format!("/explain?id={id}")) {
+                Ok(records) => eprintln!("  daemon {number}: {records:#}"),
+                Err(error) => eprintln!("  daemon {number}: {error}"),
+            }
+        }
+        let lines = host.daemon.as_ref().map(Process::lines).unwrap_or_default();
+        for line in lines.iter().filter(|line| line.contains("\"text\"")) {
+            eprintln!("  daemon {number}: {line}");
         }
+        let runs = host.runs.iter().filter(|run| ids.contains(run));
+        runs.for_each(|id| eprintln!("  target {number}: ran {id}"));
     }
 }
 
--- a/crates/once/src/row_log.rs
+++ b/crates/once/src/row_log.rs
@@ -4,10 +4,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-/// Era and version in which the store created a row. Rows are created in this order.
+/// Era and version in which the store created a row. Rows are created in this order; those of
+/// one transaction have the same version.
 pub type Created = (u64, u64);
 
-/// Rows by the time of their creation, each with its latest text.
+/// Rows by the time of their creation, if it is known, each with its latest text.
 ///
 /// A copy of the store that has one of these rows also has all rows created before it, so
 /// that only a few have to be looked at after a restore. This holds among rows whose place in
@@ -18,7 +19,7 @@
 /// copy has those before it.
 #[derive(Debug)]
 pub struct RowLog {
-    rows: BTreeMap<Created, LoggedRow>,
+    rows: BTreeMap<(Created, Box<str>), LoggedRow>,
     created: HashMap<Box<str>, Created>,
     max_age: Duration,
     has_dropped: bool,
@@ -37,6 +38,9 @@
     placed_in: Option<u64>,
     /// Latest era in which the store is known to have the row.
     seen_in: u64,
+    /// Whether the row may have been written again without a result. If the store has it, it
+    /// may be because of this.
+    pub may_be_written: bool,
 }
 
 impl RowLog {
@@ -45,35 +49,42 @@
         Self { rows: BTreeMap::new(), created: HashMap::new(), max_age, has_dropped: false }
     }
 
-    /// Adds a row that the store created in `created`, or replaces the text of a row that is
-    /// in the log.
-    pub fn insert(&mut self, now: Instant, created: Created, key: &str, text: &str) {
+    /// Adds a row that was written at `written`, or replaces the text of a row that is in the
+    /// log. `is_new` states that the write has created the row. Otherwise another process has
+    /// created it at some time before.
+    pub fn insert(&mut self, now: Instant, written: Created, is_new: bool, key: &str, text: &str) {
         match self.row_mut(key) {
             Some(row) => (row.text, row.written_at) = (text.into(), now),
             None => self.add(
-                created,
+                written,
                 LoggedRow {
                     key: key.into(),
                     text: text.into(),
                     written_at: now,
-                    placed_in: Some(created.0),
-                    seen_in: created.0,
+                    placed_in: is_new.then_some(written.0),
+                    seen_in: written.0,
+                    may_be_written: false,
                 },
             ),
         }
         self.drop_old(now);
     }
 
-    /// Returns the newest row that the store may lack in `era`.
-    pub fn next_unseen(&self, era: u64) -> Option<&LoggedRow> {
-        self.rows.values().rev().find(|row| row.seen_in < era)
+    /// Returns the newest row that the store may lack in `era`, to be written again if it is
+    /// lost. Until the result is recorded, the row counts as one that may be written.
+    pub fn take_unseen(&mut self, era: u64) -> Option<LoggedRow> {
+        let row = self.rows.values_mut().rev().find(|row| row.seen_in < era)?;
+        let taken = row.clone();
+        row.may_be_written = true;
+        Some(taken)
     }
 
     /// Records that the store had lost a row and has created it again.
     pub fn set_created(&mut self, key: &str, created: Created) {
         let before = self.created.remove(key);
-        if let Some(row) = before.and_then(|before| self.rows.remove(&before)) {
-            self.add(created, LoggedRow { placed_in: Some(created.0), seen_in: created.0, ..row });
+        if let Some(row) = before.and_then(|before| self.rows.remove(&(before, key.into()))) {
+            let (placed_in, seen_in) = (Some(created.0), created.0);
+            self.add(created, LoggedRow { placed_in, seen_in, may_be_written: false, ..row });
         }
     }
 
@@ -83,14 +94,15 @@
         let Some(created) = self.created.get(key).copied() else {
             return false;
         };
-        let placed_in = self.rows.get(&created).and_then(|row| row.placed_in);
+        let placed_in = self.row_mut(key).and_then(|row| row.placed_in);
         if placed_in.is_none() {
             self.set_unplaced(key, era);
             return false;
         }
-        for (_, row) in self.rows.range_mut(..=created) {
+        let until = self.rows.iter_mut().take_while(|((other, _), _)| *other <= created);
+        for (_, row) in until {
             if row.placed_in == placed_in {
-                (row.placed_in, row.seen_in) = (Some(era), era);
+                (row.placed_in, row.seen_in, row.may_be_written) = (Some(era), era, false);
             }
         }
         true
@@ -100,7 +112,7 @@
     /// known.
     pub fn set_unplaced(&mut self, key: &str, era: u64) {
         if let Some(row) = self.row_mut(key) {
-            (row.placed_in, row.seen_in) = (None, era);
+            (row.placed_in, row.seen_in, row.may_be_written) = (None, era, false);
         }
     }
 
@@ -111,11 +123,11 @@
 
     fn add(&mut self, created: Created, row: LoggedRow) {
         self.created.insert(row.key.clone(), created);
-        self.rows.insert(created, row);
+        self.rows.insert((created, row.key.clone()), row);
     }
 
     fn row_mut(&mut self, key: &str) -> Option<&mut LoggedRow> {
-        self.rows.get_mut(self.created.get(key)?)
+        self.rows.get_mut(&(*self.created.get(key)?, key.into()))
     }
 
     fn drop_old(&mut self, now: Instant) {
--- a/crates/once/tests/row_log.rs
+++ b/crates/once/tests/row_log.rs
@@ -20,6 +20,11 @@
     /// Writes a row and returns its era and version.
     fn write(&mut self, key: &str, text: &str) -> Created {
         self.version += 1;
+        self.write_in_transaction(key, text)
+    }
+
+    /// Writes a row in the transaction of the row before.
+    fn write_in_transaction(&mut self, key: &str, text: &str) -> Created {
         self.rows.insert(key.into(), text.into());
         (self.era, self.version)
     }
@@ -33,14 +38,26 @@
 /// to the end, and the number of rows that it looked at.
 fn write_lost_rows(store: &mut Store, log: &mut RowLog, limit: usize) -> (bool, usize) {
     let mut looked_at = 0;
-    while let Some(row) = log.next_unseen(store.era).cloned() {
+    while let Some(row) = log.take_unseen(store.era) {
         if looked_at == limit {
+            // The write takes effect, but the daemon does not learn this.
+            if !store.rows.contains_key(&*row.key) {
+                store.write(&row.key, &row.text);
+            }
             return (false, looked_at);
         }
         looked_at += 1;
-        if store.rows.contains_key(&*row.key) {
-            log.set_found(&row.key, store.era);
-            continue;
+        match store.rows.get(&*row.key) {
+            Some(text) if **text == *row.text && !row.may_be_written => {
+                log.set_found(&row.key, store.era);
+                continue;
+            }
+            // Another daemon has written the row, perhaps since the restore.
+            Some(_) => {
+                log.set_unplaced(&row.key, store.era);
+                continue;
+            }
+            None => {}
         }
         let created = store.write(&row.key, &row.text);
         match looked_at % 4 {
@@ -67,12 +84,22 @@
             match action % 8 {
                 // New rows are created, and rows are changed, only when all are complete.
                 0..=3 if is_complete == [true; 2] => {
-                    let key = match argument % 3 {
+                    let key = match argument % 4 {
                         0 => format!("{daemon}/{}", argument % 16),
+                        // Both daemons write these rows.
+                        1 => format!("shared/{}", argument % 16),
                         _ => format!("{daemon}/new-{number}"),
                     };
-                    let created = store.write(&key, "text");
-                    logs[daemon].insert(now, created, &key, "text");
+                    let is_new = !store.rows.contains_key(&key);
+                    let text = daemon.to_string();
+                    let written = store.write(&key, &text);
+                    logs[daemon].insert(now, written, is_new, &key, &text);
+                    let second = format!("{key}-{number}");
+                    if action % 8 == 3 {
+                        let written = store.write_in_transaction(&second, &text);
+                        logs[daemon].insert(now, written, true, &second, &text);
+                        keys[daemon].insert(second);
+                    }
                     keys[daemon].insert(key);
                 }
                 4 | 5 => copy = store.clone(),
@@ -109,10 +136,10 @@
             copy = store.clone();
         }
         let key = format!("{number}");
-        log.insert(now, store.write(&key, "claimed"), &key, "claimed");
+        log.insert(now, store.write(&key, "claimed"), true, &key, "claimed");
     }
     // The end of a request does not make its row a new one.
-    log.insert(now, store.write("5", "ended"), "5", "ended");
+    log.insert(now, store.write("5", "claimed"), false, "5", "claimed");
     store.restore(&copy);
     assert_eq!(write_lost_rows(&mut store, &mut log, usize::MAX), (true, 11));
     assert_eq!(store.rows.len(), 1000);
@@ -124,12 +151,12 @@
 fn old_rows_are_dropped_but_not_the_newest() {
     let start = Instant::now();
     let mut log = RowLog::new(RETENTION);
-    log.insert(start, (1, 1), "a", "text");
-    log.insert(start + RETENTION * 2, (1, 2), "b", "text");
+    log.insert(start, (1, 1), true, "a", "text");
+    log.insert(start + RETENTION * 2, (1, 2), true, "b", "text");
     assert!(!log.is_complete());
-    log.insert(start + RETENTION * 9, (1, 2), "b", "changed");
-    let row = log.next_unseen(2).expect("the newest row");
+    log.insert(start + RETENTION * 9, (1, 3), false, "b", "changed");
+    let row = log.take_unseen(2).expect("the newest row");
     assert_eq!((&*row.key, &*row.text), ("b", "changed"));
     assert!(log.set_found("b", 2), "the copy has what was created before");
-    assert!(log.next_unseen(2).is_none());
+    assert!(log.take_unseen(2).is_none());
 }
