--- a/crates/lab/tests/restore.rs
+++ b/crates/lab/tests/restore.rs
@@ -50,6 +50,14 @@
     request.call().is_ok_and(|response| response.status() != 404)
 }
 
+/// Drains the target of host 0, so that other hosts claim the requests.
+fn drain_first(fleet: &Fleet) {
+    cli::admin::AdminClient::default()
+        .post(fleet.hosts[0].admin, "/drain", &serde_json::Value::Null)
+        .expect("the admin page responds");
+    std::thread::sleep(Duration::from_millis(300));
+}
+
 fn order(fleet: &Fleet, host: usize, id: &str) -> common::Response {
     call(fleet.hosts[host].callers, "POST", "/orders", id, "pay")
 }
@@ -316,11 +324,7 @@
 #[test]
 fn requests_wait_for_the_rows_of_a_paused_daemon_across_two_restores() {
     let mut fleet = fleet(2);
-    // Host 0 is drained, so that host 1 claims the request.
-    cli::admin::AdminClient::default()
-        .post(fleet.hosts[0].admin, "/drain", &serde_json::Value::Null)
-        .expect("the admin page responds");
-    std::thread::sleep(Duration::from_millis(300));
+    drain_first(&fleet);
     fleet.set_faults(&json!({ "copy": true }));
     assert_eq!(order(&fleet, 0, "paid").status, 200);
     fleet.hosts[1].daemon.as_ref().expect("the daemon is running").signal("STOP");
@@ -346,10 +350,7 @@
 #[test]
 fn claims_that_were_lost_once_stay_in_doubt_after_a_second_restore() {
     let mut fleet = fleet(2);
-    cli::admin::AdminClient::default()
-        .post(fleet.hosts[0].admin, "/drain", &serde_json::Value::Null)
-        .expect("the admin page responds");
-    std::thread::sleep(Duration::from_millis(300));
+    drain_first(&fleet);
     fleet.set_faults(&json!({ "copy": true }));
     assert_eq!(order(&fleet, 0, "paid").status, 200);
     fleet.set_faults(&json!({ "down": true }));
