--- a/crates/daemon/src/settlement.rs
+++ b/crates/daemon/src/settlement.rs
@@ -4,12 +4,13 @@
 //! Where the store has no row of an id, no copy of the request has been claimed or refused.
 //! A restored store does not prove this: rows that it has acknowledged may be missing. So each
 //! daemon writes again the rows that it wrote and that are lost, and reports this in a record
-//! in the store. When all daemons that may have claimed requests of a service have reported,
-//! one of those that have seen the store before declares the service settled in the new era.
-//! Until then, a request whose row is absent is refused.
+//! in the store. When all daemons have reported that may have claimed requests of a service
+//! since it was settled last, one that has seen it settled then declares it settled in the new
+//! era. Until then, a request whose row is absent is refused.
 //!
 //! A daemon that ends without a report leaves the service unsettled, unless its end is on
-//! record in the copy: as a planned stop, or as the start of a later daemon at its address.
+//! record in the copy: as a planned stop, or as the start of a later daemon at its address. An
+//! operator can declare the service settled.
 
 mod eras;
 mod record;
