Recovery: a head written without confirmation is unconfirmed if the copy has none

Where the copy had no head at all and the lost files needed more than one revision, the first one wrote a head without an era. That is how earlier builds write it, and it counts as confirmed, so that a publication was accepted before all files were back. The head now names era 0 until a daemon confirms it.

--- a/crates/daemon/src/configuration/recovery.rs
+++ b/crates/daemon/src/configuration/recovery.rs
@@ -127,7 +127,8 @@
         }
         let era = match is_last && self.knows_earlier_era(tag.era) {
             true => Some(tag.era),
-            false => head.era,
+            // Without a head in the copy, nothing is confirmed.
+            false => Some(head.era.unwrap_or(0)),
         };
         let when = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
         let entry = Entry {
--- a/crates/lab/tests/restore.rs
+++ b/crates/lab/tests/restore.rs
@@ -110,6 +110,17 @@
 fn more_lost_files_than_one_revision_holds_are_all_written_again() {
     let fleet = fleet(1);
     fleet.set_faults(&json!({ "copy": true }));
+    check_many_lost_files(&fleet);
+}
+
+/// Guards against a head that counts as confirmed because the copy has none.
+#[test]
+fn many_lost_files_are_written_again_to_a_copy_without_a_head() {
+    check_many_lost_files(&fleet(1));
+}
+
+/// Publishes more files than one revision holds, restores the store and publishes again.
+fn check_many_lost_files(fleet: &Fleet) {
     let mut lost = 0;
     for batch in 0..2 {
         let files: Vec<(Box<str>, Box<str>)> = (0..60)
@@ -120,9 +131,9 @@
             .collect();
         lost = fleet.publish(&files).expect("the publication is accepted");
     }
-    assert!(wait_until(CONFIG_LIMIT, || is_in_force(&fleet, lost)).is_some());
+    assert!(wait_until(CONFIG_LIMIT, || is_in_force(fleet, lost)).is_some());
     fleet.set_faults(&json!({ "restore": true }));
-    publish(&fleet, "desk", desk("5s"));
+    publish(fleet, "desk", desk("5s"));
     let stored = with_store(fleet.platform, async |store| {
         store.list("config/service/", "", 500).await.expect("the platform responds").len()
     });
