--- a/review/tools/lab.rs
+++ b/review/tools/lab.rs
@@ -458,8 +458,11 @@
     random: Mutex<Random>,
     pub checks: AtomicU64,
     pub is_stopped: AtomicBool,
-    /// Bytes that are sent again and again in place of an answer, after a first part.
+    /// Bytes that are sent in place of some answers: a first part, and a second one again and
+    /// again until the caller closes.
     pub endless: Mutex<Option<(Vec<u8>, Vec<u8>)>>,
+    /// Share of the answers that are replaced by bytes without end, in thousandths.
+    pub endless_per_mille: AtomicU64,
     pub endless_count: AtomicU64,
 }
 
@@ -490,6 +493,7 @@
             checks: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
             endless: Mutex::default(),
+            endless_per_mille: AtomicU64::new(0),
             endless_count: AtomicU64::new(0),
         });
         let listener = match TcpListener::bind(machine.app) {
@@ -549,6 +553,11 @@
                     return;
                 }
             }
+            let share = self.endless_per_mille.load(Ordering::Relaxed);
+            if share > 0 && self.random.lock().unwrap().next() % 1000 < share {
+                self.send_without_end(&request, &mut wire);
+                return;
+            }
             if is_check {
                 self.checks.fetch_add(1, Ordering::Relaxed);
                 std::thread::sleep(self.health_time);
@@ -563,18 +572,6 @@
                 }
                 continue;
             }
-            let endless = self.endless.lock().unwrap().clone();
-            if let Some((first, again)) = endless.filter(|_| path.contains("/endless")) {
-                self.endless_count.fetch_add(1, Ordering::Relaxed);
-                let mut bytes = 0;
-                let mut is_open = wire.send(&first);
-                while is_open {
-                    is_open = wire.send(&again);
-                    bytes += again.len();
-                }
-                self.record.note(format!("{} sent {bytes} bytes without end", self.instance));
-                return;
-            }
             let (answer, has_run) = self.answer(&request, &path);
             if !wire.send(&answer) {
                 return;
@@ -589,6 +586,21 @@
         }
     }
 
+    /// Sends bytes that are no answer until the caller closes the connection.
+    fn send_without_end(&self, request: &Message, wire: &mut Wire) {
+        let Some((first, again)) = self.endless.lock().unwrap().clone() else { return };
+        let id = request.header("bronzeport-request-id");
+        self.endless_count.fetch_add(1, Ordering::Relaxed);
+        self.record.note(format!("{} sends bytes without end for {id}", self.instance));
+        let mut is_open = wire.send(&first);
+        let mut bytes = first.len();
+        while is_open && !self.is_stopped.load(Ordering::Relaxed) {
+            is_open = wire.send(&again);
+            bytes += again.len();
+        }
+        self.record.note(format!("{} sent {bytes} bytes for {id}", self.instance));
+    }
+
     /// Runs a request. Returns the answer and whether the request has run.
     fn answer(&self, request: &Message, path: &str) -> (Vec<u8>, bool) {
         let id = request.header("bronzeport-request-id").to_owned();
@@ -731,7 +743,7 @@
         );
         let at = record.seconds();
         record.note(format!("client on {} sends {id} {method} {path}", self.machine.name));
-        let limit = self.deadline + Duration::from_millis(600);
+        let limit = self.deadline + Duration::from_millis(100);
         let mut connection = wire.take().or_else(|| {
             let stream = TcpStream::connect_timeout(&self.machine.outbound, limit).ok()?;
             Some(Wire::new(stream))
