--- a/review/tools/endless.rs
+++ b/review/tools/endless.rs
@@ -44,6 +44,7 @@
             per_second: 30.0,
             share_unsafe: 0.2,
             share_archive: 0.08,
+            share_added: 0.0,
             deadline: DEADLINE,
         };
         threads.extend(clients.start(24, number as u64 + 1, record, &sent, &stop));
--- a/review/tools/extra.rs
+++ b/review/tools/extra.rs
@@ -61,6 +61,7 @@
             per_second: 40.0,
             share_unsafe: 0.2,
             share_archive: 0.36,
+            share_added: 0.0,
             deadline: Duration::from_millis(500),
         };
         threads.extend(clients.start(12, number as u64 + 1, record, &sent, &stop));
--- a/review/tools/foreign.rs
+++ b/review/tools/foreign.rs
@@ -41,6 +41,7 @@
             per_second: 20.0,
             share_unsafe: 0.2,
             share_archive: 0.08,
+            share_added: 0.0,
             deadline: Duration::from_millis(500),
         };
         threads.extend(clients.start(8, number as u64 + 1, record, &sent, &stop));
--- a/review/tools/lab.rs
+++ b/review/tools/lab.rs
@@ -183,6 +183,8 @@
     }
 
     /// Starts the daemon with the command and the settings of the deploy file.
+    ///
+    /// `store` is the address of the platform's store.
     pub fn start_daemon(&self, store: SocketAddr, is_bootstrap: bool, logs: &Path) -> Process {
         let log = logs.join(format!("{}.log", self.name));
         let log = File::options().create(true).append(true).open(log);
@@ -336,6 +338,26 @@
         Some(Message { first_line, status, headers, body })
     }
 
+    /// Reads a message with a length and returns its bytes.
+    pub fn read_raw(&mut self) -> Option<Vec<u8>> {
+        let end = loop {
+            match self.buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+                Some(end) => break end + 4,
+                None if !self.fill() => return None,
+                None => {}
+            }
+        };
+        let head = String::from_utf8_lossy(&self.buffer[..end]).to_ascii_lowercase();
+        let length = head.split("\r\n").find_map(|line| line.strip_prefix("content-length:"));
+        let length: usize = length.map_or(0, |text| text.trim().parse().unwrap_or(0));
+        while self.buffer.len() < end + length {
+            if !self.fill() {
+                return None;
+            }
+        }
+        Some(self.buffer.drain(..end + length).collect())
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).is_ok()
     }
@@ -387,36 +409,129 @@
     post(store, "/api/rows-tx", &body).is_some_and(|answer| answer.status == 200)
 }
 
-/// A configuration with a `safe` route `/read/` and an `unsafe` route `/order/` to the first
-/// service, and a `download` route `/archive/` to the second, as on the site munadi-net.
-pub fn config(version: u64, services: [&str; 2], timeouts: [&str; 2]) -> String {
-    let route = |prefix: &str, kind: &str, service: &str, timeout: &str, latency: &str, rank: u8| {
-        format!(
-            "{{\"name\":\"r-{kind}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
-             \"timeout\":\"{timeout}\",\"target_latency\":\"{latency}\",\"priority\":{rank},\
-             \"service\":\"{service}\",\"max_attempts\":2}}"
-        )
-    };
-    let services_text = services.map(|name| {
+/// A route of the configuration.
+pub struct Route<'a> {
+    pub prefix: &'a str,
+    pub kind: &'a str,
+    pub service: &'a str,
+    pub timeout: &'a str,
+    pub priority: u8,
+}
+
+/// The routes of a small deployment: a `safe` route `/read/` and an `unsafe` route `/order/` to
+/// the first service, and a `download` route `/archive/` to the second, as on the site
+/// munadi-net.
+pub fn usual_routes<'a>(services: [&'a str; 2], timeouts: [&'a str; 2]) -> Vec<Route<'a>> {
+    let route = |prefix, kind, service, timeout, priority| Route { prefix, kind, service, timeout, priority };
+    vec![
+        route("/read/", "safe", services[0], timeouts[0], 2),
+        route("/order/", "unsafe", services[0], timeouts[1], 1),
+        route("/archive/", "download", services[1], timeouts[1], 2),
+    ]
+}
+
+/// The text of a configuration.
+pub fn config(version: u64, services: [&str; 2], routes: &[Route]) -> String {
+    let services = services.map(|name| {
         format!(
             "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":220,\
              \"protocol\":\"h1\",\"tls\":false}}"
         )
     });
-    let routes = [
-        route("/read/", "safe", services[0], timeouts[0], "200ms", 2),
-        route("/order/", "unsafe", services[0], timeouts[1], "250ms", 1),
-        route("/archive/", "download", services[1], timeouts[1], "250ms", 2),
-    ];
+    let routes: Vec<String> = routes
+        .iter()
+        .map(|Route { prefix, kind, service, timeout, priority }| {
+            format!(
+                "{{\"name\":\"r{}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
+                 \"timeout\":\"{timeout}\",\"target_latency\":\"200ms\",\"priority\":{priority},\
+                 \"service\":\"{service}\",\"max_attempts\":2}}",
+                prefix.replace('/', "-")
+            )
+        })
+        .collect();
     format!(
         "{{\"version\":{version},\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}},\
          \"virtual_hosts\":[{{\"hostname\":\"{HOSTNAME}\",\"paths\":[{}]}}]}}",
-        services_text.join(","),
+        services.join(","),
         routes.join(",")
     )
 }
 
+// --- way to the store -------------------------------------------------------
+
+/// One machine's way to the platform's store. The store may stop to respond to the machine
+/// while it serves the others: a call of the machine then gets no response, and a connection on
+/// which a response is lost delivers nothing further. New connections work again afterwards.
+pub struct StorePath {
+    pub address: SocketAddr,
+    is_rejected: AtomicBool,
+    /// Feed calls without a response, on connections that still deliver.
+    open_feeds: AtomicUsize,
+    pub lost_responses: AtomicU64,
+}
+
+impl StorePath {
+    /// Forwards the connections to `address` to the store.
+    pub fn start(address: SocketAddr, store: SocketAddr) -> Arc<Self> {
+        let listener = match TcpListener::bind(address) {
+            Ok(listener) => listener,
+            Err(error) => fail(&format!("cannot listen on {address}: {error}")),
+        };
+        let path = Arc::new(Self {
+            address,
+            is_rejected: AtomicBool::new(false),
+            open_feeds: AtomicUsize::new(0),
+            lost_responses: AtomicU64::new(0),
+        });
+        let accepting = path.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let forwarding = accepting.clone();
+                std::thread::spawn(move || forwarding.forward(stream, store));
+            }
+        });
+        path
+    }
+
+    pub fn reject(&self, is_rejected: bool) {
+        self.is_rejected.store(is_rejected, Ordering::SeqCst);
+    }
+
+    pub fn has_open_feed(&self) -> bool {
+        self.open_feeds.load(Ordering::SeqCst) > 0
+    }
+
+    fn forward(&self, stream: TcpStream, store: SocketAddr) {
+        let (Ok(copy), Ok(upstream)) = (stream.try_clone(), TcpStream::connect(store)) else { return };
+        let (mut caller, mut upstream) = (Wire::new(copy), Wire::new(upstream));
+        // One call at a time: HTTP/1.1 without pipelining.
+        let mut is_dead = false;
+        while let Some(request) = caller.read_raw() {
+            is_dead |= self.is_rejected.load(Ordering::SeqCst);
+            if is_dead {
+                self.lost_responses.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            let is_feed = String::from_utf8_lossy(&request).contains("/api/rows-feed");
+            if is_feed {
+                self.open_feeds.fetch_add(1, Ordering::SeqCst);
+            }
+            let response = upstream.send(&request).then(|| upstream.read_raw()).flatten();
+            if is_feed {
+                self.open_feeds.fetch_sub(1, Ordering::SeqCst);
+            }
+            let Some(response) = response else { return };
+            is_dead |= self.is_rejected.load(Ordering::SeqCst);
+            if is_dead {
+                self.lost_responses.fetch_add(1, Ordering::Relaxed);
+            } else if !caller.send(&response) {
+                return;
+            }
+        }
+    }
+}
+
 // --- backends ---------------------------------------------------------------
 
 /// A request that a backend began to run.
@@ -680,6 +795,8 @@
     pub per_second: f64,
     pub share_unsafe: f64,
     pub share_archive: f64,
+    /// Share of the requests that go to the route `/added/`.
+    pub share_added: f64,
     pub deadline: Duration,
 }
 
@@ -724,6 +841,7 @@
             let (method, prefix) = match draw {
                 draw if draw < self.share_unsafe => ("POST", "/order/"),
                 draw if draw < self.share_unsafe + self.share_archive => ("GET", "/archive/"),
+                draw if draw > 1.0 - self.share_added => ("GET", "/added/"),
                 _ => ("GET", "/read/"),
             };
             let path = format!("{prefix}{:x}", random.next() & 0xffff);
@@ -791,6 +909,8 @@
     pub daemons: Vec<Process>,
     pub backends: Vec<Arc<Backend>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// The way of each machine to the store.
+    pub store_paths: Vec<Arc<StorePath>>,
     _store: Process,
     pub folder: Folder,
 }
@@ -812,7 +932,7 @@
         let store_address = SocketAddr::from((machine_address(250), 8142));
         let store = start_store(store_address);
         // The stand-in refuses calls in its first milliseconds, as it starts without credit.
-        let text = config(7, services, timeouts);
+        let text = config(7, services, &usual_routes(services, timeouts));
         wait_for(Duration::from_secs(5), "the configuration", || put_config(store_address, &text));
         let runs = Arc::new(Mutex::new(Vec::new()));
         let machines: Vec<Machine> = machines
@@ -820,8 +940,17 @@
             .enumerate()
             .map(|(number, (zone, service))| Machine::new(number as u8 + 1, zone, service))
             .collect();
-        let daemons: Vec<Process> =
-            machines.iter().map(|machine| machine.start_daemon(store_address, true, &folder.0)).collect();
+        let store_paths: Vec<Arc<StorePath>> = (0..machines.len())
+            .map(|number| {
+                let address = SocketAddr::from((machine_address(100 + number as u8), 8142));
+                StorePath::start(address, store_address)
+            })
+            .collect();
+        let daemons: Vec<Process> = machines
+            .iter()
+            .zip(&store_paths)
+            .map(|(machine, path)| machine.start_daemon(path.address, true, &folder.0))
+            .collect();
         let backends = machines
             .iter()
             .map(|machine| {
@@ -835,6 +964,6 @@
         record.tell("all daemons are ready");
         // As on the sites, traffic starts 8 s after the machines do.
         std::thread::sleep(Duration::from_secs_f64((8.0 - record.seconds()).max(0.0)));
-        Self { store_address, machines, daemons, backends, runs, _store: store, folder }
+        Self { store_address, machines, daemons, backends, runs, store_paths, _store: store, folder }
     }
 }
