--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,5 @@
 mkdir -p target/review
 for program in review/tools/*.rs; do
     name=$(basename "$program" .rs)
-    [ "$name" = lab ] && continue
     rustc --edition 2024 -O -o "target/review/$name" "$program"
 done
--- a/review/tools/lab.rs
+++ b/review/tools/common/lab.rs
@@ -567,6 +567,7 @@
     pub record: Arc<Record>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub garble: Garble,
+    streams: Mutex<Vec<TcpStream>>,
     running: Mutex<usize>,
     freed: Condvar,
     waiting: AtomicUsize,
@@ -601,6 +602,7 @@
             record: record.clone(),
             runs: runs.clone(),
             garble: Garble::default(),
+            streams: Mutex::default(),
             running: Mutex::new(0),
             freed: Condvar::new(),
             waiting: AtomicUsize::new(0),
@@ -618,6 +620,12 @@
         let accepting = backend.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                if accepting.is_stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    accepting.streams.lock().unwrap().push(copy);
+                }
                 let serving = accepting.clone();
                 std::thread::spawn(move || serving.serve(Wire::new(stream)));
             }
@@ -627,6 +635,16 @@
         backend
     }
 
+    /// Ends the backend: it accepts and answers nothing more.
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts connections, which then closes the port.
+        drop(TcpStream::connect(self.machine.app));
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     fn beat(&self) {
         let mut sequence = 0;
         while !self.is_stopped.load(Ordering::Relaxed) {
--- a/review/tools/endless.rs
+++ b/review/tools/endless.rs
@@ -1,6 +1,6 @@
 //! Case: a backend sends bytes that are no answer, without end, in place of its answers.
 
-#[path = "lab.rs"]
+#[path = "common/lab.rs"]
 mod lab;
 
 use std::path::Path;
--- a/review/tools/extra.rs
+++ b/review/tools/extra.rs
@@ -1,6 +1,6 @@
 //! Case: a second answer of a backend arrives where the answer of a health check is expected.
 
-#[path = "lab.rs"]
+#[path = "common/lab.rs"]
 mod lab;
 
 use std::collections::HashSet;
--- a/review/tools/foreign.rs
+++ b/review/tools/foreign.rs
@@ -1,6 +1,6 @@
 //! Case: a heartbeat of another writer names a service that the configuration does not have.
 
-#[path = "lab.rs"]
+#[path = "common/lab.rs"]
 mod lab;
 
 use std::collections::HashMap;
