--- a/review/tools/common/lab.rs
+++ b/review/tools/common/lab.rs
@@ -299,6 +299,16 @@
         Self { stream, buffer: Vec::new() }
     }
 
+    /// Whether the peer has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = self.stream.peek(&mut [0]);
+        let is_open = peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+        !is_open || self.stream.set_nonblocking(false).is_err()
+    }
+
     fn fill(&mut self) -> bool {
         let mut chunk = [0; 16 * 1024];
         match self.stream.read(&mut chunk) {
@@ -854,7 +864,13 @@
         while !stop.load(Ordering::Relaxed) {
             let pause = -(1.0 - random.unit()).ln() * threads as f64 / self.per_second;
             next = (next + Duration::from_secs_f64(pause)).max(Instant::now());
-            std::thread::sleep(next.saturating_duration_since(Instant::now()));
+            while Instant::now() < next && !stop.load(Ordering::Relaxed) {
+                let left = next.saturating_duration_since(Instant::now());
+                std::thread::sleep(left.min(Duration::from_millis(200)));
+            }
+            if stop.load(Ordering::Relaxed) {
+                return;
+            }
             let draw = random.unit();
             let (method, prefix) = match draw {
                 draw if draw < self.share_unsafe => ("POST", "/order/"),
@@ -880,7 +896,7 @@
         let at = record.seconds();
         record.note(format!("client on {} sends {id} {method} {path}", self.machine.name));
         let limit = self.deadline + Duration::from_millis(100);
-        let mut connection = wire.take().or_else(|| {
+        let mut connection = wire.take().filter(|wire| !wire.is_closed()).or_else(|| {
             let stream = TcpStream::connect_timeout(&self.machine.outbound, limit).ok()?;
             Some(Wire::new(stream))
         });
