--- a/review/tools/common/lab.rs
+++ b/review/tools/common/lab.rs
@@ -255,7 +255,8 @@
 
 impl Folder {
     pub fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("{name}-{}-{}", std::process::id(), unix_millis()));
+        let path =
+            std::env::temp_dir().join(format!("{name}-{}-{}", std::process::id(), unix_millis()));
         if std::fs::create_dir_all(&path).is_err() {
             fail("cannot create a temporary folder");
         }
@@ -337,7 +338,8 @@
             .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
             .collect();
-        let length: usize = headers.get("content-length").map_or(0, |text| text.parse().unwrap_or(0));
+        let length: usize =
+            headers.get("content-length").map_or(0, |text| text.parse().unwrap_or(0));
         while self.buffer.len() < length {
             if !self.fill() {
                 return None;
@@ -432,7 +434,13 @@
 /// the first service, and a `download` route `/archive/` to the second, as on the site
 /// munadi-net.
 pub fn usual_routes<'a>(services: [&'a str; 2], timeouts: [&'a str; 2]) -> Vec<Route<'a>> {
-    let route = |prefix, kind, service, timeout, priority| Route { prefix, kind, service, timeout, priority };
+    let route = |prefix, kind, service, timeout, priority| Route {
+        prefix,
+        kind,
+        service,
+        timeout,
+        priority,
+    };
     vec![
         route("/read/", "safe", services[0], timeouts[0], 2),
         route("/order/", "unsafe", services[0], timeouts[1], 1),
@@ -513,7 +521,9 @@
     }
 
     fn forward(&self, stream: TcpStream, store: SocketAddr) {
-        let (Ok(copy), Ok(upstream)) = (stream.try_clone(), TcpStream::connect(store)) else { return };
+        let (Ok(copy), Ok(upstream)) = (stream.try_clone(), TcpStream::connect(store)) else {
+            return;
+        };
         let (mut caller, mut upstream) = (Wire::new(copy), Wire::new(upstream));
         // One call at a time: HTTP/1.1 without pipelining.
         let mut is_dead = false;
@@ -668,7 +678,8 @@
             let path = format!("/api/Instances.Heartbeat/{}", self.instance);
             let status = post(self.machine.control, &path, &body).map_or(0, |answer| answer.status);
             if status != 200 {
-                self.record.note(format!("{} heartbeat {sequence}: status {status}", self.instance));
+                self.record
+                    .note(format!("{} heartbeat {sequence}: status {status}", self.instance));
             }
             std::thread::sleep(HEARTBEAT_INTERVAL);
         }
@@ -885,7 +896,8 @@
     }
 
     fn send(&self, wire: &mut Option<Wire>, method: &str, path: &str, record: &Record) -> Sent {
-        let id = format!("{:08x}{:08x}", unix_millis() as u32, NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let id =
+            format!("{:08x}{:08x}", unix_millis() as u32, NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let body = if method == "POST" { "order" } else { "" };
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOSTNAME}\r\nBronzeport-Request-Id: {id}\r\n\
@@ -911,9 +923,9 @@
             service: self.machine.service.clone(),
             path: path.to_owned(),
             status: answer.as_ref().map_or(0, |answer| answer.status),
-            signature: answer
-                .as_ref()
-                .map_or(String::new(), |answer| answer.header("bronzeport-server-signature").into()),
+            signature: answer.as_ref().map_or(String::new(), |answer| {
+                answer.header("bronzeport-server-signature").into()
+            }),
             is_body_whole: answer
                 .as_ref()
                 .is_some_and(|answer| answer.body == body_of(&id, path).as_bytes()),
@@ -998,6 +1010,15 @@
         record.tell("all daemons are ready");
         // As on the sites, traffic starts 8 s after the machines do.
         std::thread::sleep(Duration::from_secs_f64((8.0 - record.seconds()).max(0.0)));
-        Self { store_address, machines, daemons, backends, runs, store_paths, _store: store, folder }
+        Self {
+            store_address,
+            machines,
+            daemons,
+            backends,
+            runs,
+            store_paths,
+            _store: store,
+            folder,
+        }
     }
 }
--- a/review/tools/common/stale.rs
+++ b/review/tools/common/stale.rs
@@ -14,7 +14,7 @@
 /// Three zones of six machines.
 pub const ZONES: [&str; 3] = ["lhr-a", "khi-a", "pew-a"];
 pub const MACHINES_PER_ZONE: usize = 6;
-/// Bounds of the site munadi-net, in seconds.
+/// Bounds of the small sites, in seconds.
 pub const CONTACT: f64 = 3.0;
 pub const CONFIG_APPLY: f64 = 2.0;
 
@@ -83,7 +83,8 @@
 /// Judges the requests that were sent after `from`, when all machines that count were in touch and
 /// the version that was acknowledged at `acked` had to be in force.
 pub fn judge(record: &Record, sent: &[Sent], runs: &[Run], acked: f64, from: f64) -> i32 {
-    let service_of: HashMap<&str, &str> = runs.iter().map(|run| (&*run.id, &*run.service)).collect();
+    let service_of: HashMap<&str, &str> =
+        runs.iter().map(|run| (&*run.id, &*run.service)).collect();
     let is_old = |sent: &&Sent| {
         let is_missing = sent.path.starts_with("/added/") && sent.status == 404;
         let is_moved = sent.path.starts_with("/archive/");
@@ -119,7 +120,10 @@
         "CONFIG broken: {} of {} requests on the changed routes that were sent after {from:.3} by \
          machines in touch were handled as only an older version allows",
         old.len(),
-        late.filter(|sent| ["/added/", "/archive/"].iter().any(|prefix| sent.path.starts_with(prefix))).count()
+        late.filter(|sent| ["/added/", "/archive/"]
+            .iter()
+            .any(|prefix| sent.path.starts_with(prefix)))
+            .count()
     ));
     BROKEN
 }
--- a/review/tools/endless.rs
+++ b/review/tools/endless.rs
@@ -15,6 +15,8 @@
 const TIMEOUTS: [&str; 2] = ["500ms", "600ms"];
 /// Time that the clients wait, which is longer than the timeouts of the routes.
 const DEADLINE: Duration = Duration::from_millis(2000);
+/// Number of the faulty backends, of four.
+const FAULTY: usize = 2;
 const BEFORE: Duration = Duration::from_secs(8);
 const ENDLESS: Duration = Duration::from_secs(10);
 const AFTER: Duration = Duration::from_secs(8);
@@ -29,7 +31,12 @@
 fn play(record: &Arc<Record>) -> i32 {
     let deployment = Deployment::start(
         "review-endless",
-        &[("lhr-a", SERVICES[0]), ("khi-a", SERVICES[0]), ("pew-a", SERVICES[0]), ("lhr-a", SERVICES[1])],
+        &[
+            ("lhr-a", SERVICES[0]),
+            ("khi-a", SERVICES[0]),
+            ("pew-a", SERVICES[0]),
+            ("lhr-a", SERVICES[1]),
+        ],
         SERVICES,
         TIMEOUTS,
         12,
@@ -50,14 +57,16 @@
         threads.extend(clients.start(24, number as u64 + 1, record, &sent, &stop));
     }
     std::thread::sleep(BEFORE);
-    let faulty = &deployment.backends[0];
+    let faulty = &deployment.backends[..FAULTY];
     let from = record.seconds();
     if has_trouble() {
         // Heads of interim answers, and never the head of an answer.
         let again = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(4000);
-        *faulty.endless.lock().unwrap() = Some((Vec::new(), again));
-        faulty.endless_per_mille.store(1000, Ordering::Relaxed);
-        record.tell(format!("{} sends bytes without end", faulty.instance));
+        for backend in faulty {
+            *backend.endless.lock().unwrap() = Some((Vec::new(), again.clone()));
+            backend.endless_per_mille.store(1000, Ordering::Relaxed);
+            record.tell(format!("{} sends bytes without end", backend.instance));
+        }
     }
     // The platform's question to the daemon, once a second.
     let mut misses = 0;
@@ -70,13 +79,15 @@
         "{} was asked for its readiness once a second; {misses} questions without a 200 in 1 s",
         deployment.machines[0].name
     ));
-    faulty.endless_per_mille.store(0, Ordering::Relaxed);
     let to = record.seconds();
-    record.tell(format!(
-        "{} is sound again; it has sent bytes without end {} times",
-        faulty.instance,
-        faulty.endless_count.load(Ordering::Relaxed)
-    ));
+    for backend in faulty {
+        backend.endless_per_mille.store(0, Ordering::Relaxed);
+        record.tell(format!(
+            "{} is sound again; it has sent bytes without end {} times",
+            backend.instance,
+            backend.endless_count.load(Ordering::Relaxed)
+        ));
+    }
     std::thread::sleep(AFTER);
     stop.store(true, Ordering::Relaxed);
     for thread in threads {
--- a/review/tools/extra.rs
+++ b/review/tools/extra.rs
@@ -73,7 +73,8 @@
             backend.garble.is_on.store(true, Ordering::Relaxed);
         }
         std::thread::sleep(GARBLED);
-        garbled(&deployment).for_each(|backend| backend.garble.is_on.store(false, Ordering::Relaxed));
+        garbled(&deployment)
+            .for_each(|backend| backend.garble.is_on.store(false, Ordering::Relaxed));
         std::thread::sleep(PAUSE);
     }
     stop.store(true, Ordering::Relaxed);
@@ -103,9 +104,8 @@
 
 fn judge(record: &Record, sent: &[Sent], runs: &[Run]) -> i32 {
     let is_success = |sent: &&Sent| (200..300).contains(&sent.status);
-    let is_whole = |sent: &Sent| {
-        !sent.signature.is_empty() && sent.is_body_whole && sent.is_answer_to_it
-    };
+    let is_whole =
+        |sent: &Sent| !sent.signature.is_empty() && sent.is_body_whole && sent.is_answer_to_it;
     let successes = sent.iter().filter(is_success).count();
     record.tell(format!("{successes} of {} requests got a success", sent.len()));
     for status in [0, 502, 503, 504] {
--- a/review/tools/foreign.rs
+++ b/review/tools/foreign.rs
@@ -9,7 +9,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use lab::{BROKEN, Clients, Deployment, HELD, NOT_RUN, Record, Run, Sent, has_trouble, post, unix_millis};
+use lab::{
+    BROKEN, Clients, Deployment, HELD, NOT_RUN, Record, Run, Sent, has_trouble, post, unix_millis,
+};
 
 const SERVICES: [&str; 2] = ["dele69a", "xano55b"];
 /// Time of the traffic before the heartbeat and after it.
@@ -26,7 +28,12 @@
 fn play(record: &Arc<Record>) -> i32 {
     let deployment = Deployment::start(
         "review-foreign",
-        &[("lhr-a", SERVICES[0]), ("khi-a", SERVICES[0]), ("pew-a", SERVICES[0]), ("lhr-a", SERVICES[1])],
+        &[
+            ("lhr-a", SERVICES[0]),
+            ("khi-a", SERVICES[0]),
+            ("pew-a", SERVICES[0]),
+            ("lhr-a", SERVICES[1]),
+        ],
         SERVICES,
         ["500ms", "600ms"],
         12,
@@ -89,7 +96,8 @@
         late.clone().filter(served).count(),
         late.count()
     ));
-    for instance in runs.iter().map(|run| &run.instance).collect::<std::collections::BTreeSet<_>>() {
+    for instance in runs.iter().map(|run| &run.instance).collect::<std::collections::BTreeSet<_>>()
+    {
         let of = |is_late: bool| {
             runs.iter().filter(|run| run.instance == *instance && (run.at >= at) == is_late).count()
         };
@@ -114,6 +122,10 @@
         record.tell("UNASKED held");
         return HELD;
     }
-    record.tell(format!("UNASKED broken: {} of {} runs name a wrong caller service", wrong.len(), runs.len()));
+    record.tell(format!(
+        "UNASKED broken: {} of {} runs name a wrong caller service",
+        wrong.len(),
+        runs.len()
+    ));
     BROKEN
 }
--- a/review/tools/handover.rs
+++ b/review/tools/handover.rs
@@ -13,7 +13,7 @@
 use lab::{Deployment, NOT_RUN, Record, Sent, has_trouble};
 use stale::{CONFIG_APPLY, SERVICES, TIMEOUTS, feed_readers, judge, put};
 
-/// Largest share of the machines that are lost at once (`herd_kill` on the site munadi-net).
+/// Largest share of the machines that are lost at once (`herd_kill` on the site pankha-sajha).
 const MAX_SHARE: f64 = 0.55;
 
 fn main() {
@@ -67,8 +67,6 @@
         .filter(|(_, is_lost)| **is_lost)
         .map(|(machine, _)| &*machine.name)
         .collect();
-    let sent: Vec<Sent> =
-        sent.into_iter().filter(|sent| !lost.contains(&&*sent.machine)).collect();
+    let sent: Vec<Sent> = sent.into_iter().filter(|sent| !lost.contains(&&*sent.machine)).collect();
     judge(record, &sent, &runs, acked, acked + CONFIG_APPLY)
 }
-
