--- a/review/tools/deaf.rs
+++ b/review/tools/deaf.rs
@@ -16,7 +16,7 @@
 
 /// Largest share of the machines that the store turns away (`fleetbench kinds`).
 const MAX_SHARE: f64 = 0.35;
-/// How long the store does not respond to them (`platform_down` on the site munadi-net).
+/// How long the store does not respond to them (`platform_down` on the site pankha-sajha).
 const SILENT: Duration = Duration::from_millis(4500);
 
 fn main() {
