Targets: a health check takes no answer of a request, and a request none without its id

Cause: health checks shared connections with requests but took any answer. A late copy in a health check left the check's own answer to the next request, which took an answer without an id for its own. Change: both exchanges check the answer; a mismatch closes the connection and is logged and counted. The stand-in's health page has no id and no signature, as the platform's. The soak repeats answers. Ruled out: the pool reusing a connection whose check had timed out (dropping the call closes it).

--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -45,8 +45,9 @@
     pub write_health_check: fn(&str) -> Option<HttpRequest<Bytes>>,
     /// Reads a target's answer.
     pub read_answer: fn(Response<Bytes>) -> TargetAnswer,
-    /// Whether the headers of a target's answer belong to the request with this id.
-    pub answers_request: fn(&HeaderMap, &str) -> bool,
+    /// Whether the headers of a target's answer belong to the exchange in which it arrived: the
+    /// request with this id, or a health check if there is no id.
+    pub answers_request: fn(&HeaderMap, Option<&str>) -> bool,
     /// Reads a notice of a target; `None` if targets send no notices and the settings of
     /// the daemon describe the target.
     pub read_notice: Option<ReadNotice>,
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -101,17 +101,34 @@
                 false => HealthCheckResult::Unreachable,
             };
         };
-        let sending = self.client.send(request, Reuse::Allowed);
+        let answers_check =
+            |headers: &hyper::HeaderMap| (self.adapter.answers_request)(headers, None);
+        let sending = self.client.send_checked(request, Reuse::Allowed, answers_check);
         match self.kernel.clock().timeout(HEALTH_CHECK_TIMEOUT, sending).await {
             Ok(Ok(response)) => HealthCheckResult::Answered((self.adapter.read_answer)(response)),
             Ok(Err(ClientError::NotSent)) => HealthCheckResult::Unreachable,
-            Ok(Err(
-                ClientError::ConnectionLost | ClientError::TooLarge | ClientError::MismatchedAnswer,
-            ))
-            | Err(_) => HealthCheckResult::NoAnswer,
+            Ok(Err(ClientError::MismatchedAnswer)) => {
+                self.report_mismatch("health check", "");
+                HealthCheckResult::NoAnswer
+            }
+            Ok(Err(ClientError::ConnectionLost | ClientError::TooLarge)) | Err(_) => {
+                HealthCheckResult::NoAnswer
+            }
         }
     }
 
+    /// Logs and counts an answer that belongs to another exchange. Its connection is closed.
+    fn report_mismatch(&self, exchange: &'static str, id: &str) {
+        metrics::counter!("bronzeport_target_mismatched_answers_total", "exchange" => exchange)
+            .increment(1);
+        log::warn!(
+            target: "daemon::guard::belief",
+            "an answer of the target {} to a {exchange} {id} belongs to another exchange; its \
+             connection is closed",
+            self.identity.instance
+        );
+    }
+
     /// Sends a request to the target and waits for the result.
     pub(crate) async fn run(&self, request: &Request, remaining: Duration) -> RunResult {
         let Some(message) = (self.adapter.write_request)(request, remaining, &self.identity) else {
@@ -126,12 +143,15 @@
             (false, false) => Reuse::Never,
         };
         let answers_request =
-            |headers: &hyper::HeaderMap| (self.adapter.answers_request)(headers, &request.id);
+            |headers: &hyper::HeaderMap| (self.adapter.answers_request)(headers, Some(&request.id));
         match self.client.send_checked(message, reuse, answers_request).await {
             Ok(response) => RunResult::Answered((self.adapter.read_answer)(response)),
             Err(ClientError::NotSent) => RunResult::Unreachable,
             Err(ClientError::TooLarge) => RunResult::TooLarge,
-            Err(ClientError::MismatchedAnswer) => RunResult::Cut,
+            Err(ClientError::MismatchedAnswer) => {
+                self.report_mismatch("request", &request.id);
+                RunResult::Cut
+            }
             Err(ClientError::ConnectionLost) => match self.client.is_alive().await {
                 true => RunResult::Cut,
                 false => RunResult::Crashed,
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -25,6 +25,9 @@
     CutRequest(usize),
     /// Cuts connections after this many bytes towards the client.
     CutAnswer(usize),
+    /// Sends the second answer of each connection once more, in place of the third one, which
+    /// follows it. Answers are told apart by the reads that they arrive in.
+    RepeatAnswer,
 }
 
 /// A running proxy. Clones share the same proxy.
@@ -39,6 +42,10 @@
 struct SharedFault(Arc<Mutex<Fault>>);
 
 const FREEZE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Number of the read with the answer that [`Fault::RepeatAnswer`] sends once more.
+const REPEATED_ANSWER: usize = 2;
+/// Time by which a repeated answer precedes the one in whose place it arrives.
+const REPEAT_LEAD: Duration = Duration::from_millis(6);
 
 impl Proxy {
     /// Starts a proxy for the server at `upstream` on a separate thread.
@@ -118,7 +125,7 @@
         match fault.get() {
             Fault::Freeze | Fault::Refuse => continue,
             Fault::Delay(time) => std::thread::sleep(time),
-            Fault::None | Fault::CutRequest(_) | Fault::CutAnswer(_) => {}
+            Fault::None | Fault::CutRequest(_) | Fault::CutAnswer(_) | Fault::RepeatAnswer => {}
         }
         // A failed send counts as a lost datagram, which the receiver has to tolerate anyway.
         let _ = socket.send_to(&buffer[..length], upstream);
@@ -140,8 +147,8 @@
     };
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
-    let request = forward(&kernel, from_client, to_server, &fault, |fault| cut_after(fault, true));
-    let answer = forward(&kernel, from_server, to_client, &fault, |fault| cut_after(fault, false));
+    let request = forward(&kernel, from_client, to_server, &fault, true, cut_after);
+    let answer = forward(&kernel, from_server, to_client, &fault, false, cut_after);
     // When one direction ends, both are closed.
     request.or(answer).await;
 }
@@ -151,10 +158,12 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     fault: &SharedFault,
-    cut_after: impl Fn(Fault) -> Option<usize>,
+    is_request: bool,
+    cut_after: impl Fn(Fault, bool) -> Option<usize>,
 ) {
     let mut buffer = [0; 16 * 1024];
-    let mut forwarded = 0;
+    let (mut forwarded, mut reads) = (0, 0);
+    let mut repeated = Vec::new();
     loop {
         let Ok(length @ 1..) = from.read(&mut buffer).await else {
             return;
@@ -165,7 +174,18 @@
         if let Fault::Delay(time) = fault.get() {
             kernel.clock().sleep(time).await;
         }
-        let allowed = cut_after(fault.get())
+        reads += 1;
+        if fault.get() == Fault::RepeatAnswer && !is_request {
+            if reads == REPEATED_ANSWER {
+                repeated = buffer[..length].to_vec();
+            } else if !repeated.is_empty() {
+                if to.write_all(&std::mem::take(&mut repeated)).await.is_err() {
+                    return;
+                }
+                kernel.clock().sleep(REPEAT_LEAD).await;
+            }
+        }
+        let allowed = cut_after(fault.get(), is_request)
             .map_or(length, |limit| limit.saturating_sub(forwarded).min(length));
         if to.write_all(&buffer[..allowed]).await.is_err() || allowed < length {
             return;
--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -211,9 +211,12 @@
         let mut headers = vec![
             ("bronzeport-server-load", load),
             ("bronzeport-instance-id", self.instance.clone()),
-            ("bronzeport-request-id", id.to_owned()),
-            ("bronzeport-server-signature", format!("s-{id}")),
         ];
+        // The health page has neither an id nor a signature.
+        if !id.is_empty() {
+            headers.push(("bronzeport-request-id", id.to_owned()));
+            headers.push(("bronzeport-server-signature", format!("s-{id}")));
+        }
         headers.extend(self.rate_limit.get().map(|limit| ("server-limit", limit.to_string())));
         if self.states_leaving.get() {
             headers.push(("server-leaving", "1".to_owned()));
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -16,7 +16,7 @@
 use crate::fleet::{get, has_config_and_members, post, start_standin, wait_until, with_store};
 use crate::ports::free_addresses;
 use crate::process::{self, Process, args_of};
-use crate::proxy::Proxy;
+use crate::proxy::{self, Proxy};
 use crate::sidecar::unix_millis;
 use faults::Undo;
 
@@ -229,6 +229,11 @@
         post(self.hosts[host].target, "/lab", behaviour);
     }
 
+    /// Sets the fault of the link between a host's daemon and its target.
+    pub fn set_target_link_fault(&self, host: usize, fault: proxy::Fault) {
+        self.hosts[host].target_proxy.set(fault);
+    }
+
     /// Kills a host's daemon.
     pub fn kill_daemon(&mut self, host: usize) {
         self.hosts[host].daemon = None;
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -116,6 +116,9 @@
             SilenceTarget(host) => self.inject_target_link_fault(host, proxy::Fault::Freeze, step),
             DelayTarget(host) => self.inject_target_link_fault(host, DELAY, step),
             CutTarget(host) => self.inject_target_link_fault(host, CUT, step),
+            RepeatAnswers(host) => {
+                self.inject_target_link_fault(host, proxy::Fault::RepeatAnswer, step)
+            }
             SilencePeer(host) => self.inject_peer_link_fault(host, proxy::Fault::Freeze, step),
             RefusePeer(host) => self.inject_peer_link_fault(host, proxy::Fault::Refuse, step),
             DelayPeer(host) => self.inject_peer_link_fault(host, DELAY, step),
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -16,6 +16,8 @@
 /// Additional restores of the store from an older copy, drawn and numbered after all other
 /// steps. Each is two steps: the copy is made, and the store comes back with it.
 const RESTORES: usize = 2;
+/// Additional targets that send an answer twice, drawn and numbered after all other steps.
+const REPEAT_STEPS: usize = 2;
 /// Greatest age of a copy, in milliseconds.
 const MAX_COPY_AGE_MS: u64 = 9000;
 /// Time for which a target limits its rate: a limit must be kept from 3 s after it is named,
@@ -61,6 +63,8 @@
     DelayTarget(usize),
     /// Cuts connections in the middle of the target's answers.
     CutTarget(usize),
+    /// Repeats an answer of the target on each connection, in place of the next one.
+    RepeatAnswers(usize),
     /// Holds back all bytes between daemon and store.
     SilenceStore(usize),
     /// Refuses the daemon's connections to the store.
@@ -124,6 +128,10 @@
         steps.push(Step { at: restore.at.saturating_sub(age), ..copy });
         steps.push(restore);
     }
+    steps.extend(
+        (0..REPEAT_STEPS)
+            .map(|_| generate_step(|random, hosts| Fault::RepeatAnswers(random.usize(..hosts)))),
+    );
     steps
 }
 
