Configuration: gossip tells when the store was last read, and whoever finds it old reads

One cause: gossip named a revision but not when the store had been read, so silence meant that nothing had changed; who reads followed from the member list alone. Change: datagrams carry the round and age of the latest read (member::Freshness); a daemon reads itself when it is older than 1.1 s, after a random delay; the first of all at 0.7 s, so that in calm one daemon reads for all. One feed reader a data centre in place of two. Ruled out: a shorter wait of the feed (a lost reader still leaves the others without news), a faster member list (does not see a reader that is alive), the age without a round (each hop over a slow link makes it younger; test). Test: spread.rs failed before (host 0 has the old configuration after 10 s), passes after; a paused clock shows the lost readers. The soak silences the store for all hosts but one, and suspends all but one.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -5,6 +5,7 @@
 //! whatever its source.
 
 mod recovery;
+mod route_table;
 #[cfg(test)]
 mod tests;
 
@@ -15,7 +16,7 @@
 use config::stored::{self, Head};
 use config::{ActiveConfig, Change, InstallResult, PathRule, RequestLimits, Revision, Service};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use store::{Cell, Failure, Position, Row, Rows};
+use store::{Cell, Failure, Row};
 use wire::Changes;
 
 use crate::adapter::ProtocolAdapter;
@@ -40,28 +41,6 @@
 /// Number of rows in one page of a list.
 const PAGE_ROWS: usize = 500;
 
-/// Time for which a request to the feed of the route table waits for a change.
-const FEED_WAIT: Duration = Duration::from_secs(20);
-/// Number of daemons per data centre that read the feed: those that started first. Each
-/// call to the store costs money, so the other daemons get changes from these through
-/// gossip. With two of them, one remains when the store rejects the other. Each data centre
-/// has its own, so one that is cut off from the others still reads the feed.
-const FEED_READERS: usize = 2;
-/// Time in which a starting daemon exchanges member lists with others. After this time the
-/// feed readers are known.
-const MEMBERSHIP_SETTLE_TIME: Duration = Duration::from_secs(1);
-/// Time after which a daemon that has not received the configuration from its peers reads
-/// the store itself.
-const PEER_CONFIG_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time without gossip from any other daemon after which a daemon reads the feed itself.
-const MAX_GOSSIP_AGE: Duration = Duration::from_secs(2);
-/// Interval at which a daemon checks whether it is a feed reader.
-const FEED_READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Most rows that are read from the store's table that holds the route table.
-const MAX_FEED_ROWS: usize = 100;
-/// Mean pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
-
 /// Messages that the service handles.
 pub(crate) enum Message {
     /// Looks up the settings of a service.
@@ -82,8 +61,11 @@
     PullFinished,
     /// The newest revision number has been read from the store.
     Head(Result<Revision, Failure>),
-    /// The store's feed has responded, so this daemon has its newest content.
-    Confirmed,
+    /// The route table has been read from the store at this time, and is installed.
+    Confirmed { read_at: Instant },
+    /// The route table was last read from the store at this time, by this daemon or another one
+    /// that has the same revision.
+    FleetConfirmed { read_at: Option<Instant> },
     /// The number of members in the fleet has changed to this value.
     MemberCount(usize),
     /// Returns the state of the configuration.
@@ -160,12 +142,8 @@
     let bootstrap_peers = bootstrap_peers.iter().map(|peer| peer.to_string().into()).collect();
     match adapter.read_route_table {
         Some(_) => {
-            kernel.start(follow_route_table(
-                kernel.clone(),
-                mailbox,
-                adapter.route_table_key,
-                join_within,
-            ));
+            let reader = route_table::Reader::new(kernel, mailbox, adapter.route_table_key);
+            reader.start(join_within);
         }
         None => kernel.start(poll_store(kernel.clone(), mailbox, node, bootstrap_peers)),
     }
@@ -217,7 +195,12 @@
             Message::Install { from, changes } => self.install(from, changes),
             Message::PullFinished => self.is_pulling = false,
             Message::Head(head) => self.check_head(head),
-            Message::Confirmed => self.confirmed_at = Some(self.kernel.clock().now()),
+            Message::Confirmed { read_at } => {
+                let membership: Mailbox<membership::Message> =
+                    self.kernel.service(names::MEMBERSHIP);
+                membership.send(membership::Message::Confirmed { read_at });
+            }
+            Message::FleetConfirmed { read_at } => self.confirmed_at = read_at,
             Message::MemberCount(count) => self.poll_interval = poll_interval(count),
             Message::State { reply } => {
                 reply.send(self.state());
@@ -236,7 +219,7 @@
     fn state(&self) -> State {
         let now = self.kernel.clock().now();
         let limit = match self.uses_route_table {
-            true => FEED_WAIT * 2,
+            true => route_table::MAX_READ_AGE,
             false => self.poll_interval * MAX_MISSED_POLLS,
         };
         State {
@@ -372,103 +355,6 @@
     }
 }
 
-/// Reads the route table and its changes from the store's feed. Gossip from other daemons
-/// also announces new revisions, in case the store does not respond.
-///
-/// A daemon that is restarted reads the table at once. When a whole fleet starts for the
-/// first time and `join_within` spreads out its joining, only the feed readers read it.
-async fn follow_route_table(
-    kernel: Kernel,
-    mailbox: Mailbox<Message>,
-    row: &str,
-    join_within: Duration,
-) {
-    let table = row.split('/').next().unwrap_or(row);
-    let started = kernel.clock().now();
-    let mut known_position = None;
-    let mut wait = FEED_WAIT;
-    let mut must_read = join_within.is_zero();
-    if !must_read {
-        kernel.clock().sleep(join_within + MEMBERSHIP_SETTLE_TIME).await;
-    }
-    loop {
-        let is_overdue =
-            known_position.is_none() && kernel.clock().now() - started > PEER_CONFIG_TIMEOUT;
-        let should_read = must_read
-            || is_feed_reader(&kernel).await
-            || (is_overdue && !is_ready_for_calls(&mailbox).await);
-        if !should_read {
-            kernel.clock().sleep(FEED_READER_CHECK_INTERVAL).await;
-            continue;
-        }
-        must_read = false;
-        let is_first_read = known_position.is_none();
-        match read_feed(&kernel, table, known_position, wait).await {
-            Ok(rows) => {
-                wait = FEED_WAIT;
-                known_position = Some(rows.position);
-                for row in rows.rows.into_iter().filter(|found| *found.key == *row) {
-                    mailbox.send(Message::RouteTableRead { text: row.value });
-                }
-                mailbox.send(Message::Confirmed);
-                if is_first_read {
-                    kernel.clock().sleep(MEMBERSHIP_SETTLE_TIME).await;
-                }
-            }
-            // Read the whole table again.
-            Err(Failure::Compacted) => {
-                log::info!("the feed of {table} has lost its history and is read anew");
-                known_position = None;
-            }
-            Err(failure) => {
-                log::debug!("cannot read the feed of {table}: {failure}");
-                // The store may have come back from an older copy. The next response tells, so
-                // it must not wait for a change.
-                wait = Duration::ZERO;
-                must_read = is_first_read && join_within.is_zero();
-                kernel.clock().sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
-            }
-        }
-    }
-}
-
-async fn is_ready_for_calls(mailbox: &Mailbox<Message>) -> bool {
-    mailbox
-        .request(|reply| Message::State { reply })
-        .await
-        .is_some_and(|state| state.is_ready_for_calls())
-}
-
-/// Whether this daemon reads the feed: it is among those of its data centre that started
-/// first, or it receives no gossip from any other daemon.
-async fn is_feed_reader(kernel: &Kernel) -> bool {
-    let membership: Mailbox<membership::Message> = kernel.service(names::MEMBERSHIP);
-    let seniority = membership.request(|reply| membership::Message::Seniority { reply }).await;
-    seniority.is_none_or(|own| own.earlier < FEED_READERS || own.gossip_age > MAX_GOSSIP_AGE)
-}
-
-/// Reads the whole table, or waits up to `wait` for its changes after a known position.
-async fn read_feed(
-    kernel: &Kernel,
-    table: &str,
-    known_position: Option<Position>,
-    wait: Duration,
-) -> Result<Rows, Failure> {
-    let store: Mailbox<storage::Message> = kernel.service(names::STORE);
-    let table = table.into();
-    let read = match known_position {
-        None => {
-            store
-                .request(|reply| storage::Message::ReadTable { table, limit: MAX_FEED_ROWS, reply })
-                .await
-        }
-        Some(after) => {
-            store.request(|reply| storage::Message::Feed { table, after, wait, reply }).await
-        }
-    };
-    read.unwrap_or(Err(Failure::Down))
-}
-
 /// Returns the interval at which one of `members` daemons reads the newest revision number.
 fn poll_interval(members: usize) -> Duration {
     let every = Duration::from_secs_f64(members as f64 / FLEET_POLLS_PER_SECOND);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,7 +7,7 @@
 use admit::Hold;
 use futures_lite::FutureExt;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use member::{Action, GossipQueue, Kind, Member, Members, State};
+use member::{Action, Freshness, GossipQueue, Kind, Member, Members, State};
 use route::{Load, Node};
 use store::{CommitResult, Condition, Era, Write};
 use tokio::net::UdpSocket;
@@ -61,6 +61,10 @@
 /// Number of members, in the local data centre and in remote ones, that a daemon sends its
 /// own state to after a list comparison has added members.
 const JOIN_FANOUT: usize = 12;
+/// Number of members that a later round of reads of the store is sent to on each tick, in the
+/// local data centre and in remote ones, while it is still to be sent.
+const CONFIRMATION_FANOUT_LOCAL: usize = 2;
+const CONFIRMATION_FANOUT_REMOTE: usize = 2;
 const MEMBER_TABLE: &str = "member";
 
 /// Messages that the service handles.
@@ -69,6 +73,11 @@
     Count { reply: Reply<usize> },
     /// Returns all members.
     All { reply: Reply<Vec<Member>> },
+    /// Returns what decides whether the local node reads the store.
+    ReadDuty { reply: Reply<ReadDuty> },
+    /// The local node has read the store at this time, and the configuration that it found is
+    /// in force here.
+    Confirmed { read_at: Instant },
     /// Returns the seniority of the local node.
     Seniority { reply: Reply<Seniority> },
     /// Returns the local node's own entry in the list.
@@ -104,6 +113,19 @@
     pub(crate) gossip_age: Duration,
 }
 
+/// What decides whether the local node reads the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReadDuty {
+    /// When any member last read the store, as far as known.
+    pub(crate) read_at: Option<Instant>,
+    /// Whether no present member started earlier.
+    pub(crate) is_first: bool,
+    /// Number of present members of the local data centre that started earlier.
+    pub(crate) earlier: usize,
+    /// Number of present members.
+    pub(crate) members: usize,
+}
+
 enum Event {
     Message(Message),
     Datagram(usize, SocketAddr),
@@ -133,6 +155,7 @@
         holds: GossipQueue::new(SENDS_PER_HOLD),
         hold_budget_used_until: kernel.clock().now(),
         load: None,
+        freshness: Freshness::default(),
         last_gossip_at: None,
         departed: HashSet::new(),
     };
@@ -153,6 +176,7 @@
     /// Time until which the rounds sent so far use up the budget for sending holds.
     hold_budget_used_until: Instant,
     load: Option<Load>,
+    freshness: Freshness,
     last_gossip_at: Option<Instant>,
     departed: HashSet<Node>,
 }
@@ -171,6 +195,7 @@
                     let actions = self.members.tick(now);
                     self.execute(actions);
                     self.forward_holds(now);
+                    self.forward_confirmation();
                 }
                 Event::Closed => return,
             }
@@ -201,6 +226,16 @@
         match message {
             Message::Count { reply } => drop(reply.send(self.members.count_present())),
             Message::All { reply } => drop(reply.send(self.members.all().cloned().collect())),
+            Message::ReadDuty { reply } => drop(reply.send(ReadDuty {
+                read_at: self.freshness.read_at(),
+                is_first: self.members.is_first(),
+                earlier: self.members.count_earlier(),
+                members: self.members.count_present(),
+            })),
+            Message::Confirmed { read_at } => {
+                self.freshness.confirm(read_at);
+                self.spread();
+            }
             Message::Seniority { reply } => drop(reply.send(Seniority {
                 earlier: self.members.count_earlier(),
                 gossip_age: self.last_gossip_at.map_or(Duration::MAX, |at| now - at),
@@ -276,6 +311,9 @@
                 revision: gossip.revision,
                 from: sender.address.clone(),
             });
+        } else if let Some(confirmation) = gossip.confirmation {
+            // The sender's read shows nothing about a newer revision than the sender has.
+            self.freshness.learn(self.kernel.clock().now(), confirmation);
         }
         let message = member::Message {
             kind: gossip.kind,
@@ -310,6 +348,15 @@
         self.spread();
     }
 
+    /// Passes the latest read of the store on, unless enough other datagrams have carried it.
+    fn forward_confirmation(&mut self) {
+        if self.freshness.has_pending() {
+            let actions =
+                self.members.spread([], CONFIRMATION_FANOUT_LOCAL, CONFIRMATION_FANOUT_REMOTE);
+            self.execute(actions);
+        }
+    }
+
     fn execute(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -335,6 +382,7 @@
             holds: self.holds.take(MAX_HOLDS_PER_DATAGRAM),
             digest: self.members.digest(),
             load: self.load,
+            confirmation: self.freshness.take(self.kernel.clock().now()),
         };
         let bytes = encode_gossip(&gossip);
         metrics::counter!("bronzeport_gossip_sent_bytes_total").increment(bytes.len() as u64);
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -234,6 +234,11 @@
         self.hosts[host].target_proxy.set(fault);
     }
 
+    /// Sets the fault of the link between a host's daemon and the store.
+    pub fn set_store_link_fault(&self, host: usize, fault: proxy::Fault) {
+        self.hosts[host].store_proxy.set(fault);
+    }
+
     /// Kills a host's daemon.
     pub fn kill_daemon(&mut self, host: usize) {
         self.hosts[host].daemon = None;
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -18,6 +18,8 @@
 const RESTORES: usize = 2;
 /// Additional targets that send an answer twice, drawn and numbered after all other steps.
 const REPEAT_STEPS: usize = 2;
+/// Time from a fault on most hosts to the change of the configuration.
+const CHANGE_DELAY: Duration = Duration::from_millis(300);
 /// Greatest age of a copy, in milliseconds.
 const MAX_COPY_AGE_MS: u64 = 9000;
 /// Time for which a target limits its rate: a limit must be kept from 3 s after it is named,
@@ -132,6 +134,20 @@
         (0..REPEAT_STEPS)
             .map(|_| generate_step(|random, hosts| Fault::RepeatAnswers(random.usize(..hosts)))),
     );
+    for affect in [Fault::SilenceStore as fn(usize) -> Fault, Fault::PauseDaemon] {
+        let step = generate_step(|random, hosts| Fault::SilenceStore(random.usize(..hosts)));
+        steps.extend(affect_most_hosts(&step, hosts, affect));
+    }
+    steps
+}
+
+/// Returns a fault on all hosts but the one that `step` names, and a change of the configuration
+/// meanwhile. The spared host has no other host that reads the store for it.
+fn affect_most_hosts(step: &Step, hosts: usize, affect: fn(usize) -> Fault) -> Vec<Step> {
+    let affected = (0..hosts).filter(|host| step.fault != Fault::SilenceStore(*host));
+    let mut steps: Vec<Step> =
+        affected.map(|host| Step { fault: affect(host), ..step.clone() }).collect();
+    steps.push(Step { at: step.at + CHANGE_DELAY, fault: Fault::Configure, ..step.clone() });
     steps
 }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -27,6 +27,7 @@
 //! assert_eq!(members.serving("ward-desk").count(), 2);
 //! ```
 
+mod confirmation;
 mod detect;
 mod digest;
 mod gossip_queue;
@@ -35,6 +36,7 @@
 mod requesters;
 mod update_queue;
 
+pub use confirmation::{Confirmation, Freshness};
 pub use detect::{Action, Kind, Message, UnknownKind};
 pub use digest::BUCKETS;
 pub use gossip_queue::GossipQueue;
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -72,6 +72,12 @@
             .count()
     }
 
+    /// Whether no present member started before the local node.
+    pub fn is_first(&self) -> bool {
+        let mut earlier = self.peers.range(..self.local.node);
+        earlier.all(|(_, peer)| !peer.member.state.is_present())
+    }
+
     /// Returns all known members, including the local node.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         std::iter::once(&self.local).chain(self.peers.values().map(|peer| &peer.member))
--- a/crates/wire/schema/bronzeport.capnp
+++ b/crates/wire/schema/bronzeport.capnp
@@ -101,4 +101,6 @@
   holds @6 :List(Hold);
   digest @7 :UInt64;
   load @8 :Load;
+  storeRound @9 :UInt64;
+  storeAgeMillis @10 :UInt32;
 }
--- a/crates/wire/src/bronzeport_capnp.rs
+++ b/crates/wire/src/bronzeport_capnp.rs
@@ -5561,11 +5561,19 @@
         pub fn has_load(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_store_round(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_store_age_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5719,6 +5727,22 @@
         pub fn has_load(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_store_round(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_store_round(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_store_age_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_store_age_millis(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5736,87 +5760,101 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 162] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 194] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(182, 148, 136, 145, 188, 75, 89, 226),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(82, 119, 63, 158, 192, 182, 161, 212),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
             ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 71, 111, 115, 115, 105, 112, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5899,6 +5937,24 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 82, 111, 117),
+            ::capnp::word(110, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 65, 103, 101),
+            ::capnp::word(77, 105, 108, 108, 105, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5911,6 +5967,8 @@
                 6 => <::capnp::struct_list::Owned<crate::bronzeport_capnp::hold::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <crate::bronzeport_capnp::load::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5924,9 +5982,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,0,8,3,2,1,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,0,8,3,2,1,10,9,4,5];
         pub(crate) const TYPE_ID: u64 = 0xe259_4bbc_9188_94b6;
     }
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,8 +1,10 @@
 //! Encoding of gossip datagrams: a version byte, followed by one packed message.
 
+use std::time::Duration;
+
 use capnp::message::Builder;
 use capnp::serialize_packed;
-use member::Kind;
+use member::{Confirmation, Kind};
 
 use crate::Error;
 use crate::bronzeport_capnp::gossip;
@@ -48,6 +50,10 @@
     if let Some(load) = from.load {
         write_load(to.reborrow().init_load(), load);
     }
+    if let Some(confirmation) = from.confirmation {
+        to.set_store_round(confirmation.round);
+        to.set_store_age_millis(u32::try_from(confirmation.age.as_millis()).unwrap_or(u32::MAX));
+    }
     let mut bytes = vec![VERSION];
     serialize_packed::write_message(&mut bytes, &message).expect("writing to memory does not fail");
     bytes
@@ -78,5 +84,12 @@
             true => Some(read_load(from.get_load()?)),
             false => None,
         },
+        confirmation: match from.get_store_round() {
+            0 => None,
+            round => {
+                let age = Duration::from_millis(u64::from(from.get_store_age_millis()));
+                Some(Confirmation { round, age })
+            }
+        },
     })
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,7 +5,7 @@
 use admit::Hold;
 use bytes::Bytes;
 use config::Change;
-use member::{Kind, Member};
+use member::{Confirmation, Kind, Member};
 use route::{Load, Node};
 
 pub use crate::bronzeport_capnp::{Outcome, Reason};
@@ -141,6 +141,8 @@
     pub digest: u64,
     /// Load of the sender's target, if the sender has a target.
     pub load: Option<Load>,
+    /// The latest read of the store that the sender knows of.
+    pub confirmation: Option<Confirmation>,
 }
 
 /// Request of one daemon to another over TCP.
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -1,7 +1,9 @@
 //! Encoding of gossip datagrams within their size limit, and decoding of arbitrary bytes.
 
+use std::time::Duration;
+
 use admit::Hold;
-use member::{Kind, Member, State};
+use member::{Confirmation, Kind, Member, State};
 use quickcheck::quickcheck;
 use wire::{Gossip, MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
 
@@ -31,6 +33,7 @@
             .collect(),
         digest: u64::MAX,
         load: None,
+        confirmation: Some(Confirmation { round: u64::MAX, age: Duration::from_millis(1500) }),
     }
 }
 
