Guard: a notice that does not describe the target of the settings is refused

Cause: a notice of a process with a later start replaced the registered one whatever service and address it named, and its service became the host's. Change: the settings say which target a daemon has; an announcement with another service or address gets 403, a log line and a count. A health page that names another instance than the registered one removes that, so that a false notice with the right service and address does not keep the target out of use. Ruled out: comparing with the services of the configuration (a notice may name another service that it has, and a daemon may not have one yet).

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -55,16 +55,26 @@
     Leaving,
     /// The notice is outdated, or is about a process that is not registered.
     Stale,
+    /// The notice describes another target than the one of the settings, and has no effect.
+    Foreign,
 }
 
 /// The registered process of the target.
 #[derive(Debug, Default)]
 pub struct Registration {
+    /// Service and address that an announcement must have; `None` accepts any.
+    expected: Option<(Box<str>, SocketAddr)>,
     current: Option<Announcement>,
     departed: VecDeque<(Box<str>, u64)>,
 }
 
 impl Registration {
+    /// Creates a registration for the processes of one target. Announcements with another
+    /// service or address come from another writer and are not applied.
+    pub fn for_target(service: Box<str>, address: SocketAddr) -> Self {
+        Self { expected: Some((service, address)), ..Self::default() }
+    }
+
     /// The registered process, which may be leaving.
     pub fn current(&self) -> Option<&Announcement> {
         self.current.as_ref()
@@ -78,6 +88,9 @@
     /// Applies a notice from a target.
     pub fn apply(&mut self, notice: Notice) -> NoticeEffect {
         match notice {
+            Notice::Announced(announcement) if self.is_foreign(&announcement) => {
+                NoticeEffect::Foreign
+            }
             Notice::Announced(announcement) => self.apply_announcement(announcement),
             Notice::Deregistered { instance, started } => self.apply_departure(instance, started),
         }
@@ -145,6 +158,12 @@
         }
     }
 
+    fn is_foreign(&self, announcement: &Announcement) -> bool {
+        self.expected.as_ref().is_some_and(|(service, address)| {
+            announcement.service != *service || announcement.address != *address
+        })
+    }
+
     fn is_stale(&self, announcement: &Announcement) -> bool {
         let has_departed = self.departed.iter().any(|(instance, started)| {
             *instance == announcement.instance && departure_covers(*started, announcement.started)
--- a/crates/admit/tests/standing.rs
+++ b/crates/admit/tests/standing.rs
@@ -130,3 +130,43 @@
     assert!(!registration.accepts_requests());
     assert_eq!(registration.apply(Notice::Announced(running("a", 2, 1))), NoticeEffect::Started);
 }
+
+/// A notice of another writer with a later start replaced the registered process, and its
+/// service became that of all requests of the host (issue 35).
+#[test]
+fn notice_of_another_target_changes_nothing() {
+    let own = running("a", 1, 5);
+    let mut registration = Registration::for_target(own.service.clone(), own.address);
+    let foreign = |instance: &str, service: &str| Announcement {
+        service: service.into(),
+        ..running(instance, 9, 1)
+    };
+    let elsewhere = Announcement {
+        address: "10.0.0.1:81".parse().expect("an address"),
+        ..running("other", 9, 1)
+    };
+    let long = "x".repeat(100_000);
+    let refused = [
+        foreign("other", "unknown"),
+        foreign("a", "unknown"),
+        foreign("other", ""),
+        foreign("other", &long),
+        Announcement { is_leaving: true, ..foreign("a", "unknown") },
+        elsewhere.clone(),
+        Announcement { is_leaving: true, instance: "a".into(), ..elsewhere },
+    ];
+    for announcement in refused.clone() {
+        let effect = registration.apply(Notice::Announced(announcement));
+        assert_eq!(effect, NoticeEffect::Foreign, "before the target's own first notice");
+        assert!(registration.current().is_none());
+    }
+    assert_eq!(registration.apply(Notice::Announced(own.clone())), NoticeEffect::Started);
+    for announcement in refused {
+        let effect = registration.apply(Notice::Announced(announcement));
+        assert_eq!(effect, NoticeEffect::Foreign);
+    }
+    assert_eq!(registration.apply(deregistered("other", 9)), NoticeEffect::Stale);
+    assert_eq!(registration.current(), Some(&own));
+    assert!(registration.accepts_requests());
+    assert_eq!(registration.apply(Notice::Announced(running("a", 1, 6))), NoticeEffect::Confirmed);
+}
--- a/crates/daemon/src/aux_listeners.rs
+++ b/crates/daemon/src/aux_listeners.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::NoticeEffect;
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use kernel::{Kernel, Mailbox};
@@ -93,7 +94,8 @@
         Ok(notice) => {
             let guard: Mailbox<guard::Message> = kernel.service(names::GUARD);
             match guard.request(|reply| guard::Message::Notice { notice, reply }).await {
-                Some(()) => json_response(StatusCode::OK, "{}"),
+                Some(NoticeEffect::Foreign) => json_response(StatusCode::FORBIDDEN, "{}"),
+                Some(_) => json_response(StatusCode::OK, "{}"),
                 None => json_response(StatusCode::SERVICE_UNAVAILABLE, "{}"),
             }
         }
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -15,7 +15,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use admit::{AdmissionController, Discipline, Hold, HoldTracker, Registration, Ticket};
+use admit::{
+    AdmissionController, Discipline, Hold, HoldTracker, NoticeEffect, Registration, Ticket,
+};
 use config::TargetSettings;
 use kernel::{Kernel, Mailbox, Reply};
 use member::RecentRequesters;
@@ -57,7 +59,7 @@
     /// Returns the health check that is due, if any.
     DueHealthCheck { reply: Reply<Option<DueHealthCheck>> },
     /// A notice from the target. The reply confirms that it has been applied.
-    Notice { notice: Notice, reply: Reply<()> },
+    Notice { notice: Notice, reply: Reply<NoticeEffect> },
     /// The configured settings of the targets of each service.
     TargetSettings(Vec<TargetSettings>),
     /// A warm-up step has passed, so that the target may have one more slot.
@@ -162,6 +164,9 @@
     let default_connections = target.map_or(u16::MAX, |target| target.connections);
     let service = target.map_or("".into(), |target| target.service.clone());
     let service = Rc::new(RefCell::new(service));
+    let registration = target.map_or_else(Registration::default, |target| {
+        Registration::for_target(target.service.clone(), target.address)
+    });
     let target = target.map(|target| {
         let identity = TargetIdentity { instance: "".into(), address: target.address };
         Target::new(kernel, adapter, identity, slots)
@@ -180,7 +185,7 @@
         is_checked: false,
         target,
         service: service.clone(),
-        registration: adapter.read_notice.map(|_| Registration::default()),
+        registration: adapter.read_notice.map(|_| registration),
         target_settings: Vec::new(),
         default_connections,
         pace_report: None,
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -216,7 +216,11 @@
     pub(super) fn apply_health_page(&mut self, answer: TargetAnswer) {
         let now = self.now();
         let found = answer.instance.as_deref().zip(answer.report);
-        if let Some((instance, report)) = found.filter(|_| answer.status == 200)
+        let found = found.filter(|_| answer.status == 200);
+        if let Some((instance, _)) = found {
+            self.remove_contradicted(instance);
+        }
+        if let Some((instance, report)) = found
             && let (Some(registration), Some(target)) = (&mut self.registration, &self.target)
         {
             let announcement = Announcement {
@@ -252,17 +256,26 @@
     }
 
     /// Applies a notice of the target.
-    pub(super) fn apply_notice(&mut self, notice: Notice) {
+    pub(super) fn apply_notice(&mut self, notice: Notice) -> NoticeEffect {
         let Some(registration) = &mut self.registration else {
-            return;
+            return NoticeEffect::Stale;
         };
+        let description = describe_notice(&notice);
         let effect = registration.apply(notice);
         match effect {
             NoticeEffect::Started => self.serve_new_process(),
             NoticeEffect::Leaving => self.stop_admitting(),
             NoticeEffect::Confirmed => self.confirm_process(),
             NoticeEffect::Stale => metrics::counter!("bronzeport_stale_notices_total").increment(1),
+            NoticeEffect::Foreign => {
+                metrics::counter!("bronzeport_foreign_notices_total").increment(1);
+                log::warn!(
+                    target: "daemon::guard::belief",
+                    "a notice of {description} is refused: it is not the target of the settings"
+                );
+            }
         }
+        effect
     }
 
     /// Applies what an answer of the current target process states about the process.
@@ -336,6 +349,23 @@
         }
     }
 
+    /// Removes the registered process if the health page belongs to another one, `answering`:
+    /// the notice that registered it was false or late.
+    fn remove_contradicted(&mut self, answering: &str) {
+        let Some(registration) = &mut self.registration else {
+            return;
+        };
+        let registered = registration.current().map(|current| current.instance.clone());
+        if let Some(registered) = registered.filter(|registered| **registered != *answering) {
+            registration.remove(&registered);
+            log::warn!(
+                target: "daemon::guard::belief",
+                "the health page of the target {answering} answers in place of {registered:.64}"
+            );
+            self.set_reachable(false);
+        }
+    }
+
     /// Records that a request did not reach the target process `instance` or crashed it.
     pub(super) fn mark_process_unreachable(&mut self, instance: &str) {
         if self.is_current_process(instance) {
@@ -375,3 +405,13 @@
         });
     }
 }
+
+/// Describes the process of a notice, which may come from any writer, in a bounded length.
+fn describe_notice(notice: &Notice) -> String {
+    match notice {
+        Notice::Announced(Announcement { instance, service, address, .. }) => {
+            format!("{instance:.64} of {service:.64} at {address}")
+        }
+        Notice::Deregistered { instance, .. } => format!("{instance:.64}"),
+    }
+}
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -107,8 +107,8 @@
             }
             Message::DueHealthCheck { reply } => drop(reply.send(self.due_health_check())),
             Message::Notice { notice, reply } => {
-                self.apply_notice(notice);
-                reply.send(());
+                let effect = self.apply_notice(notice);
+                reply.send(effect);
             }
             Message::TargetSettings(target_settings) => {
                 self.target_settings = target_settings;
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone)]
 pub struct Proxy {
     address: SocketAddr,
+    /// Server for new connections.
+    upstream: Arc<Mutex<SocketAddr>>,
     fault: SharedFault,
 }
 
@@ -84,18 +86,21 @@
         listener.set_nonblocking(true)?;
         let listener = TcpListener::from_std(listener)?;
         let fault = SharedFault(Arc::new(Mutex::new(Fault::None)));
+        let shared_upstream = Arc::new(Mutex::new(upstream));
         let (accepting, current_fault) = (kernel.clone(), fault.clone());
+        let current_upstream = shared_upstream.clone();
         kernel.start(async move {
             while let Ok((client, _)) = listener.accept().await {
                 if current_fault.get() == Fault::Refuse {
                     continue;
                 }
+                let upstream = *current_upstream.lock().unwrap_or_else(PoisonError::into_inner);
                 let forwarding =
                     forward_connection(accepting.clone(), client, upstream, current_fault.clone());
                 accepting.start(forwarding);
             }
         });
-        Ok(Self { address, fault })
+        Ok(Self { address, upstream: shared_upstream, fault })
     }
 
     /// Address of the proxy for clients.
@@ -103,6 +108,11 @@
         self.address
     }
 
+    /// Forwards new connections to another server.
+    pub fn redirect(&self, upstream: SocketAddr) {
+        *self.upstream.lock().unwrap_or_else(PoisonError::into_inner) = upstream;
+    }
+
     /// Sets the fault for open and new connections.
     pub fn set(&self, fault: Fault) {
         self.fault.set(fault);
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -214,6 +214,18 @@
         self.hosts[host].ready
     }
 
+    /// Address at which a host's target listens.
+    pub fn target(&self, host: usize) -> SocketAddr {
+        self.hosts[host].target
+    }
+
+    /// Puts the server at `address` in the place of a host's target for new connections, and
+    /// returns the address that the target announces.
+    pub fn replace_target(&self, host: usize, address: SocketAddr) -> SocketAddr {
+        self.hosts[host].target_proxy.redirect(address);
+        self.hosts[host].target_proxy.address()
+    }
+
     /// Service of a host's target.
     pub fn service(&self, host: usize) -> &str {
         &self.hosts[host].service
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -121,9 +121,20 @@
     serde_json::from_str(text).unwrap_or_default()
 }
 
+/// A notice of a target of `desk` that a test sends.
+pub struct Notice<'a> {
+    pub instance: &'a str,
+    pub service: &'a str,
+    pub target: SocketAddr,
+    pub slots: usize,
+    /// Time of birth after the current time, so that the daemon takes the process for a later
+    /// one than the host's regular target.
+    pub born_after_ms: u64,
+    pub state: &'a str,
+}
+
 /// Announces a target of `desk`, simulated by the test, to the daemon whose announce address
-/// is `to`. Its time of birth is `born_after_ms` after the current time, so that the daemon
-/// takes it for a later process than the host's regular target.
+/// is `to`.
 pub fn announce(
     to: SocketAddr,
     instance: &str,
@@ -131,11 +142,19 @@
     slots: usize,
     born_after_ms: u64,
 ) {
+    let state = "ready";
+    let notice = Notice { instance, service: "desk", target, slots, born_after_ms, state };
+    assert_eq!(send_notice(to, &notice), 200);
+}
+
+/// Sends a notice and returns the status of the response.
+pub fn send_notice(to: SocketAddr, notice: &Notice<'_>) -> u16 {
+    let Notice { instance, service, target, slots, born_after_ms, state } = notice;
     let body = serde_json::json!({
         "address": target.to_string(),
         "born": lab::sidecar::unix_millis() + born_after_ms,
-        "info": { "service": "desk", "version": "v1", "zone": "zone-0", "slots": slots },
-        "status": { "state": "ready", "sequence": 1, "cold_remaining": "0ms" },
+        "info": { "service": service, "version": "v1", "zone": "zone-0", "slots": slots },
+        "status": { "state": state, "sequence": 1, "cold_remaining": "0ms" },
     });
     let body = body.to_string();
     let head = format!(
@@ -148,5 +167,5 @@
     stream.write_all(format!("{head}{body}").as_bytes()).expect("the announcement is sent");
     let mut response = String::new();
     stream.read_to_string(&mut response).expect("a complete response");
-    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    response.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
 }
--- a/crates/lab/tests/endless.rs
+++ b/crates/lab/tests/endless.rs
@@ -130,7 +130,8 @@
     let in_flight = Arc::new(AtomicUsize::new(0));
     let target_in_flight = in_flight.clone();
     std::thread::spawn(move || simulate_target(listener, target_in_flight));
-    common::announce(mesh.announce(0), "i-endless", address, SLOTS, 60_000);
+    let announced = mesh.replace_target(0, address);
+    common::announce(mesh.announce(0), "i-endless", announced, SLOTS, 60_000);
     let entry = mesh.callers(0);
     let is_served = || call(entry, "POST", "/order/first", 1000) == "200";
     wait_until(TIMEOUT, is_served).expect("the simulated target is in use");
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -537,10 +537,11 @@
     }
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("the listener is bound");
+    let announced = mesh.replace_target(0, address);
     let (release, go_on) = std::sync::mpsc::channel();
     std::thread::spawn(move || simulate_target(listener, go_on));
     let announce = |instance: &str, born_after_ms: u64| {
-        common::announce(mesh.announce(0), instance, address, 8, born_after_ms);
+        common::announce(mesh.announce(0), instance, announced, 8, born_after_ms);
     };
     announce("i-earlier", 60_000);
     let entry = mesh.callers(0);
