Tests: no port is tried while a process starts

Cause: a listener that tries a port is copied into a child that another thread starts, and keeps the port until the child has replaced its program. Change: lab starts all processes under the lock that it tries ports under.

--- a/crates/lab/src/ports.rs
+++ b/crates/lab/src/ports.rs
@@ -5,6 +5,7 @@
 //! skips blocks whose first port is taken.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command};
 use std::sync::{Mutex, PoisonError};
 
 /// Range of allocated ports. It lies below the ephemeral ports of the operating system.
@@ -13,7 +14,7 @@
 /// Number of ports in a block; the first one serves as the claim.
 const BLOCK_SIZE: u16 = 100;
 
-/// Allocator of this process.
+/// Allocator of this process. Its lock is also held while a process is started.
 static PROCESS_PORTS: Mutex<PortAllocator> = Mutex::new(PortAllocator::new());
 
 /// Allocates ports from blocks that no other process takes during the allocator's lifetime.
@@ -62,6 +63,15 @@
     }
 }
 
+/// Starts a process while no thread is trying a port.
+///
+/// A child holds copies of all sockets of this process until it has replaced its program. A
+/// port that is tried meanwhile would stay taken after it is tried.
+pub fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _no_trial = PROCESS_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// Returns an address on which nothing listens.
 pub fn free_address() -> Result<SocketAddr, Box<str>> {
     let address = PROCESS_PORTS.lock().unwrap_or_else(PoisonError::into_inner).next_free();
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -7,6 +7,8 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
+use crate::ports;
+
 /// A child process. It is killed on drop, and exits on its own when this process dies,
 /// because its standard input is closed then.
 #[derive(Debug)]
@@ -71,13 +73,10 @@
             Some(path) => Stdio::from(std::fs::File::create(path)?),
             None => Stdio::null(),
         };
-        let mut child = Command::new(program)
-            .args(args)
-            .env(CHILD_VARIABLE, "1")
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(stderr)
-            .spawn()?;
+        let mut command = Command::new(program);
+        command.args(args).env(CHILD_VARIABLE, "1");
+        command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(stderr);
+        let mut child = ports::spawn(&mut command)?;
         let stdin = child.stdin.take();
         let lines = child.stdout.take().map(|stdout| {
             let (sender, receiver) = channel();
@@ -125,7 +124,9 @@
     /// Sends a signal by name, such as `TERM` or `STOP`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        let mut command = Command::new("kill");
+        command.args([&format!("-{name}"), &id]);
+        let _ = ports::spawn(&mut command).and_then(|mut kill| kill.wait());
     }
 
     /// Kills the process at once.
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -396,13 +396,9 @@
         ("--platform", mesh.store().to_string()),
     ];
     let flags = flags.iter().flat_map(|(flag, value)| [*flag, &**value]);
-    let mut daemon = Command::new(env!("CARGO_BIN_EXE_lab"))
-        .arg("daemon")
-        .args(flags)
-        .stdin(Stdio::null())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the daemon starts");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lab"));
+    command.arg("daemon").args(flags).stdin(Stdio::null()).stdout(Stdio::piped());
+    let mut daemon = lab::ports::spawn(&mut command).expect("the daemon starts");
     wait_for_listener(callers).expect("the daemon accepts connections");
     let is_up = || call(callers, "GET", "/read/x", "up", 900).status == 200;
     wait_until(TIMEOUT, is_up).expect("the daemon syncs from its peers");
--- a/crates/lab/tests/ports.rs
+++ b/crates/lab/tests/ports.rs
@@ -1,8 +1,11 @@
 //! Port allocation for several test programs on one machine.
 
 use std::collections::HashSet;
+use std::net::TcpListener;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use lab::ports::PortAllocator;
+use lab::ports::{PortAllocator, free_address, spawn};
 
 #[test]
 fn two_allocators_get_different_ports() {
@@ -25,3 +28,26 @@
         }
     }
 }
+
+/// A child held a copy of the listener with which another thread had just tried a port, until the
+/// child had replaced its program. Processes of tests then could not listen on that port.
+#[test]
+fn a_port_is_free_while_other_threads_start_processes() {
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    let child = spawn(&mut Command::new("true"));
+                    child.and_then(|mut child| child.wait()).expect("a process starts");
+                }
+            });
+        }
+        let taken = (0..3000).find_map(|_| {
+            let address = free_address().expect("a port is left");
+            TcpListener::bind(address).err().map(|error| format!("{address}: {error}"))
+        });
+        is_over.store(true, Ordering::Relaxed);
+        assert_eq!(taken, None);
+    });
+}
