Store: rows that cannot be read leave the others readable

Change: such rows are left out of reads of a table and logged. A read of single keys fails on them as before, since a row left out would count as absent. Contact rows that are no address are left out. Test: rows_of_another_writer_leave_the_others_readable failed before (the response was not valid).

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -551,7 +551,8 @@
     match store.request(message).await {
         Some(Ok(rows)) => {
             let addresses = rows.rows.into_iter().map(|row| row.value);
-            addresses.filter(|address| local.as_ref() != Some(address)).collect()
+            let others = addresses.filter(|address| local.as_ref() != Some(address));
+            others.filter(|address| address.parse::<SocketAddr>().is_ok()).collect()
         }
         Some(Err(failure)) => {
             log::info!("cannot read the table of members: {failure}");
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -141,13 +141,13 @@
 
     /// Reads a row. Returns `None` if the row does not exist.
     pub async fn read(&self, key: &str) -> Result<Option<Row>, Failure> {
-        let rows = self.rows((self.protocol.list)(key, key, 1), self.timeout).await?;
+        let rows = self.readable_rows((self.protocol.list)(key, key, 1)).await?;
         Ok(rows.rows.into_iter().find(|row| *row.key == *key))
     }
 
     /// Reads a row, or its absence, with its tag.
     pub async fn read_cell(&self, key: &str) -> Result<Cell, Failure> {
-        let rows = self.rows((self.protocol.list)(key, key, 1), self.timeout).await?;
+        let rows = self.readable_rows((self.protocol.list)(key, key, 1)).await?;
         let absent = Cell { tag: Tag { era: rows.position.era, version: 0 }, value: None };
         let row = rows.rows.into_iter().find(|row| *row.key == *key);
         Ok(row.map_or(absent, |row| Cell { tag: row.tag, value: Some(row.value) }))
@@ -157,11 +157,12 @@
     /// `after`, in the order of their keys.
     pub async fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, Failure> {
         let request = (self.protocol.list)(prefix, after, limit + 1);
-        let rows = self.rows(request, self.timeout).await?.rows;
+        let rows = self.readable_rows(request).await?.rows;
         Ok(rows.into_iter().filter(|row| *row.key > *after).take(limit).collect())
     }
 
     /// Reads up to `limit` rows of a small table, and the version at which they were read.
+    /// Unreadable rows are left out.
     pub async fn read_table(&self, table: &str, limit: usize) -> Result<Rows, Failure> {
         self.rows((self.protocol.list)(&format!("{table}/"), "", limit), self.timeout).await
     }
@@ -234,11 +235,29 @@
         matches!(response, Ok(Response { status: StatusCode::OK, .. }))
     }
 
+    /// Reads rows all of which have to be readable: one that is left out would count as absent.
+    async fn readable_rows(&self, request: Request<Bytes>) -> Result<Rows, Failure> {
+        let rows = self.rows(request, self.timeout).await?;
+        match rows.unreadable.is_empty() {
+            true => Ok(rows),
+            false => Err(Failure::Garbled),
+        }
+    }
+
     async fn rows(&self, request: Request<Bytes>, limit: Duration) -> Result<Rows, Failure> {
         let Response { status, body, era } =
             self.call(request, limit).await.map_err(|_| Failure::Down)?;
         match status {
-            StatusCode::OK => (self.protocol.parse_rows)(&body, era).ok_or(Failure::Garbled),
+            StatusCode::OK => {
+                let rows = (self.protocol.parse_rows)(&body, era).ok_or(Failure::Garbled)?;
+                if let Some(first) = rows.unreadable.first() {
+                    let count = rows.unreadable.len();
+                    log::warn!(
+                        "{count} rows of the store cannot be read, the first is {first:.64}"
+                    );
+                }
+                Ok(rows)
+            }
             status => Err(failure_of(status).unwrap_or(Failure::Garbled)),
         }
     }
--- a/crates/store/src/row.rs
+++ b/crates/store/src/row.rs
@@ -74,6 +74,8 @@
     pub rows: Vec<Row>,
     /// In a feed, the keys of rows that were deleted.
     pub deleted: Vec<Box<str>>,
+    /// Keys of rows that cannot be read, such as those of another writer.
+    pub unreadable: Vec<Box<str>>,
     /// The newest version of the store. The next feed continues after it.
     pub position: Position,
 }
