Stand-in: the first calls after its start are not refused

Cause: the stand-in's buckets started without tokens and refused what came within 2.5 ms of its start. Change: they start full. Test: standin.rs failed before (write 0: NotSent(Throttled)).

--- a/crates/lab/src/standin.rs
+++ b/crates/lab/src/standin.rs
@@ -195,7 +195,8 @@
 impl Standin {
     /// Returns a stand-in with an empty table and object store.
     pub fn new(seed: u64) -> Self {
-        let new_bucket = || TokenBucket { tokens: 0.0, at: Instant::now(), count: 0 };
+        // The first call caps the tokens at the capacity.
+        let new_bucket = || TokenBucket { tokens: f64::INFINITY, at: Instant::now(), count: 0 };
         Self {
             started: Instant::now(),
             content: Content::default(),
