--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -11,6 +11,7 @@
 mod load;
 mod schedule;
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -150,12 +151,26 @@
         recovery_time.unwrap_or(faults_ended_at.elapsed()).as_secs_f64(),
         violations.len()
     );
+    for (kind, count) in count_by_kind(&violations) {
+        eprintln!("  {count} of kind {kind}");
+    }
     for violation in violations.iter().take(MAX_PRINTED) {
         eprintln!("  VIOLATION {violation}");
     }
     Ok(violations)
 }
 
+/// Counts the violations of each kind, under the name of its variant.
+fn count_by_kind(violations: &[Violation]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for violation in violations {
+        let text = format!("{violation:?}");
+        let kind = text.split('(').next().unwrap_or_default();
+        *counts.entry(kind.to_owned()).or_default() += 1;
+    }
+    counts
+}
+
 impl Report {
     /// Returns the report as a JSON object.
     pub fn json(&self) -> Value {
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -25,6 +25,9 @@
 /// process starts at an earlier time than the previous one.
 const CLOCK_STEP: Duration = Duration::from_secs(60);
 
+/// Time after the present, in milliseconds, at which the process of a foreign notice has started.
+const FOREIGN_BIRTH_MS: u64 = 60_000;
+
 /// Fault of a link that delays bytes.
 const DELAY: proxy::Fault = proxy::Fault::Delay(Duration::from_millis(60));
 /// Fault of a link that cuts connections after 300 bytes: after some complete answers, in the
@@ -119,6 +122,10 @@
             RepeatAnswers(host) => {
                 self.inject_target_link_fault(host, proxy::Fault::RepeatAnswer, step)
             }
+            SendForeignNotice(host) => {
+                self.send_foreign_notice(host);
+                return Ok(());
+            }
             SilencePeer(host) => self.inject_peer_link_fault(host, proxy::Fault::Freeze, step),
             RefusePeer(host) => self.inject_peer_link_fault(host, proxy::Fault::Refuse, step),
             DelayPeer(host) => self.inject_peer_link_fault(host, DELAY, step),
@@ -175,6 +182,18 @@
         Ok(())
     }
 
+    fn send_foreign_notice(&self, host: usize) {
+        let notice = json!({
+            "address": self.hosts[host].target_proxy.address().to_string(),
+            "born": unix_millis() + FOREIGN_BIRTH_MS,
+            "info": { "service": "unknown", "version": "v1", "zone": "z", "slots": 8 },
+            "status": { "state": "ready", "sequence": 1, "cold_remaining": "0ms" },
+        });
+        let to = self.hosts[host].announce;
+        // A suspended daemon does not respond, which must not delay the next steps.
+        std::thread::spawn(move || post(to, "/api/Instances.Heartbeat/i-other", &notice));
+    }
+
     fn inject_target_behaviour(
         &self,
         host: usize,
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -18,6 +18,8 @@
 const RESTORES: usize = 2;
 /// Additional targets that send an answer twice, drawn and numbered after all other steps.
 const REPEAT_STEPS: usize = 2;
+/// Additional notices of other writers, drawn and numbered after all other steps.
+const FOREIGN_STEPS: usize = 3;
 /// Time from a fault on most hosts to the change of the configuration.
 const CHANGE_DELAY: Duration = Duration::from_millis(300);
 /// Greatest age of a copy, in milliseconds.
@@ -67,6 +69,8 @@
     CutTarget(usize),
     /// Repeats an answer of the target on each connection, in place of the next one.
     RepeatAnswers(usize),
+    /// Sends the daemon a notice of another writer, with an unknown service. Excuses nothing.
+    SendForeignNotice(usize),
     /// Holds back all bytes between daemon and store.
     SilenceStore(usize),
     /// Refuses the daemon's connections to the store.
@@ -138,6 +142,11 @@
         let step = generate_step(|random, hosts| Fault::SilenceStore(random.usize(..hosts)));
         steps.extend(affect_most_hosts(&step, hosts, affect));
     }
+    steps.extend(
+        (0..FOREIGN_STEPS).map(|_| {
+            generate_step(|random, hosts| Fault::SendForeignNotice(random.usize(..hosts)))
+        }),
+    );
     steps
 }
 
