Targets: interim answers without end are cut off

Cause: the client read them in one turn for as long as bytes came, and nothing bounded the bytes before the final head. Change: at most 64 KiB are read between a request and the head of its answer.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -7,12 +7,16 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use kernel::Kernel;
 use tokio::net::TcpStream;
 
+use crate::budget::{BudgetedStream, HeadBudget};
+
 /// Time limit for opening a connection, which includes the wait for a free permit.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest idle time after which a connection is still reused. It is below the 10 s
@@ -35,6 +39,10 @@
 /// Time without a response from the peer's TCP stack after which a connection fails.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Most bytes that are read between a request and the end of the head of its answer. Interim
+/// answers (1xx) count too, which may otherwise follow each other without end.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// HTTP client for one address. Clones share its connections.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -77,11 +85,31 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     since: Instant,
     until: Instant,
 }
 
+/// The sending half of a connection.
+#[derive(Debug)]
+struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    head_budget: HeadBudget,
+}
+
+impl Sender {
+    /// Sends a request and waits for the head of its answer.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_budget.limit(MAX_HEAD_BYTES);
+        let response = self.requests.try_send_request(request).await?;
+        self.head_budget.lift();
+        Ok(response)
+    }
+}
+
 /// Counts one connection from before it is opened until it is dropped.
 #[derive(Debug)]
 struct ConnectionPermit {
@@ -147,7 +175,7 @@
         let mut request = request.map(Full::new);
         if reuse != Reuse::Never {
             while let Some(mut sender) = self.take_idle(reuse) {
-                match sender.try_send_request(request).await {
+                match sender.send(request).await {
                     Ok(response) => return self.read_answer(sender, response, accepts_head).await,
                     Err(mut error) => match error.take_message() {
                         Some(unsent) => request = unsent,
@@ -157,12 +185,11 @@
             }
         }
         let mut sender = self.connect().await.ok_or(ClientError::NotSent)?;
-        let response = sender.try_send_request(request).await.map_err(|mut error| {
-            match error.take_message() {
+        let response =
+            sender.send(request).await.map_err(|mut error| match error.take_message() {
                 Some(_) => ClientError::NotSent,
                 None => ClientError::ConnectionLost,
-            }
-        })?;
+            })?;
         self.read_answer(sender, response, accepts_head).await
     }
 
@@ -210,22 +237,24 @@
         ConnectionPermit::new(&self.connections)
     }
 
-    async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
+    async fn connect(&self) -> Option<Sender> {
         let (stream, permit) = self.open_stream().await?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let head_budget = HeadBudget::default();
+        let stream = BudgetedStream::new(stream, head_budget.clone());
+        let (mut requests, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         self.kernel.start(async move {
             // The request in flight receives the error.
             let _ = connection.await;
             drop(permit);
         });
-        sender.ready().await.ok()?;
-        Some(sender)
+        requests.ready().await.ok()?;
+        Some(Sender { requests, head_budget })
     }
 
     async fn read_answer(
         &self,
-        sender: SendRequest<Full<Bytes>>,
-        response: Response<hyper::body::Incoming>,
+        sender: Sender,
+        response: Response<Incoming>,
         accepts_head: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, ClientError> {
         let (head, body) = response.into_parts();
@@ -242,19 +271,20 @@
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 
-    fn take_idle(&self, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, reuse: Reuse) -> Option<Sender> {
         let now = self.kernel.clock().now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|idle| !idle.sender.is_closed() && now < idle.until);
+        idle.retain(|idle| !idle.sender.requests.is_closed() && now < idle.until);
         let is_allowed =
             |idle: &IdleConnection| reuse == Reuse::Allowed || now - idle.since < RECENT_IDLE_TIME;
-        let usable = idle.iter().rposition(|idle| idle.sender.is_ready() && is_allowed(idle))?;
+        let usable =
+            idle.iter().rposition(|idle| idle.sender.requests.is_ready() && is_allowed(idle))?;
         Some(idle.swap_remove(usable).sender)
     }
 
-    fn keep_idle(&self, sender: SendRequest<Full<Bytes>>, idle_time: Duration) {
+    fn keep_idle(&self, sender: Sender, idle_time: Duration) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < self.max_idle && !sender.is_closed() {
+        if idle.len() < self.max_idle && !sender.requests.is_closed() {
             let since = self.kernel.clock().now();
             idle.push(IdleConnection { sender, since, until: since + idle_time });
         }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod answer;
+mod budget;
 mod client;
 mod connection;
 mod frame;
