--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use lab::fleet::{Fleet, Plan, ServicePlan};
+use lab::soak::host::Mesh;
 use serde_json::Value;
 
 /// Service file of `desk`: a read, an order that must not be repeated, and a repeatable upload.
@@ -169,3 +170,39 @@
     stream.read_to_string(&mut response).expect("a complete response");
     response.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
 }
+
+/// Writes a configuration with a single path rule to the store, as an operator does.
+pub fn publish(mesh: &Mesh, prefix: &str, kind: &str, services: &Value) {
+    let path = serde_json::json!({
+        "name": "r", "prefix": prefix, "kind": kind, "timeout": "5s",
+        "service": "desk", "max_attempts": 2,
+    });
+    let config = serde_json::json!({
+        "version": 1000,
+        "services": services,
+        "virtual_hosts": [{ "hostname": "soak.example", "paths": [path] }],
+    });
+    let write = store::Write {
+        key: "op/config".into(),
+        condition: store::Condition::Always,
+        value: config.to_string().into(),
+    };
+    lab::fleet::with_store(mesh.store(), async |store| store.commit(vec![write]).await);
+}
+
+/// Sends a read over the platform's interface and returns the status of the response.
+pub fn read_status(entry: SocketAddr, path: &str, id: &str) -> u16 {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_secs(10)))
+        .http_status_as_error(false)
+        .build();
+    let request = ureq::http::Request::builder()
+        .uri(format!("http://{entry}{path}"))
+        .header("host", "soak.example")
+        .header("bronzeport-request-id", id)
+        .header("bronzeport-deadline-ms", "900")
+        .body(())
+        .expect("a valid request");
+    let response = ureq::Agent::new_with_config(config).run(request);
+    response.expect("the daemon answers").status().as_u16()
+}
--- a/crates/lab/tests/foreign.rs
+++ b/crates/lab/tests/foreign.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::Notice;
@@ -10,26 +9,9 @@
 
 /// Host 0 serves `desk`, host 1 serves `desk-archive`.
 const HOSTS: usize = 2;
-const TIMEOUT: Duration = Duration::from_secs(10);
 /// Several times the interval of health checks and of the target's own notices.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 
-fn status(entry: SocketAddr, id: &str) -> u16 {
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(TIMEOUT))
-        .http_status_as_error(false)
-        .build();
-    let request = ureq::http::Request::builder()
-        .uri(format!("http://{entry}/read/{id}"))
-        .header("host", "soak.example")
-        .header("bronzeport-request-id", id)
-        .header("bronzeport-deadline-ms", "900")
-        .body(())
-        .expect("a valid request");
-    let response = ureq::Agent::new_with_config(config).run(request);
-    response.expect("the daemon answers").status().as_u16()
-}
-
 /// A notice of another writer replaced the target beside the daemon, and its service became the
 /// caller's service of all requests that began on the host (issue 35).
 #[test]
@@ -61,7 +43,8 @@
         }
         std::thread::sleep(SETTLE_TIME);
         for (number, entry) in [mesh.callers(0), mesh.callers(1)].into_iter().enumerate() {
-            assert_eq!(status(entry, &format!("{round}-{number}")), 200);
+            let id = format!("{round}-{number}");
+            assert_eq!(common::read_status(entry, "/read/x", &id), 200);
         }
         if round == "running" {
             mesh.kill_daemon(0);
@@ -100,6 +83,6 @@
         };
         common::send_notice(mesh.announce(0), &notice);
         std::thread::sleep(SETTLE_TIME);
-        assert_eq!(status(mesh.callers(1), state), 200, "{state}");
+        assert_eq!(common::read_status(mesh.callers(1), "/read/x", state), 200, "{state}");
     }
 }
--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use lab::fleet::{wait_for_listener, wait_until, with_store};
+use lab::fleet::{wait_for_listener, wait_until};
 use lab::ports::free_addresses;
 use lab::soak::host::Mesh;
 use serde_json::json;
@@ -416,25 +416,6 @@
     daemon.wait().expect("the daemon has exited");
 }
 
-/// Writes a configuration with a single path rule to the store, as an operator does.
-fn publish(mesh: &Mesh, prefix: &str, kind: &str, services: &serde_json::Value) {
-    let path = json!({
-        "name": "r", "prefix": prefix, "kind": kind, "timeout": "5s",
-        "service": "desk", "max_attempts": 2,
-    });
-    let config = json!({
-        "version": 1000,
-        "services": services,
-        "virtual_hosts": [{ "hostname": "soak.example", "paths": [path] }],
-    });
-    let write = store::Write {
-        key: "op/config".into(),
-        condition: store::Condition::Always,
-        value: config.to_string().into(),
-    };
-    with_store(mesh.store(), async |store| store.commit(vec![write]).await);
-}
-
 /// Issue 10: the operator's limit on the connections to a target was not used.
 #[test]
 fn max_connections_limits_concurrent_requests_below_the_slots() {
@@ -443,7 +424,7 @@
     // requests.
     let services = json!([{ "name": "desk", "health_path": "/healthz", "max_connections": 3 }]);
     // Each order is sent to one target only and is not cancelled there.
-    publish(&mesh, "/order/", "unsafe", &services);
+    common::publish(&mesh, "/order/", "unsafe", &services);
     let is_published = || call(mesh.callers(0), "GET", "/read/x", "gone", 500).status == 404;
     wait_until(TIMEOUT, is_published).expect("the configuration is in force");
     std::thread::scope(|scope| {
@@ -467,7 +448,7 @@
 #[test]
 fn a_target_without_a_configured_health_path_stays_in_use() {
     let mesh = mesh();
-    publish(&mesh, "/read/", "safe", &json!([]));
+    common::publish(&mesh, "/read/", "safe", &json!([]));
     let is_published = || call(mesh.callers(0), "GET", "/slow/x", "gone", 500).status == 404;
     wait_until(TIMEOUT, is_published).expect("the configuration is in force");
     let _before = mesh.daemon_lines(0);
