--- a/crates/daemon/src/configuration/route_table.rs
+++ b/crates/daemon/src/configuration/route_table.rs
@@ -36,7 +36,8 @@
 /// Time since the last read after which a newer revision may be in force elsewhere.
 pub(super) const MAX_READ_AGE: Duration = Duration::from_secs(3);
 /// Mean time between the attempts of one daemon while its reads fail: this time for each
-/// member, within limits. The fleet's rate of attempts therefore hardly depends on its size.
+/// member, within limits. From the upper limit on, the share of the read budget bounds the
+/// attempts of the fleet.
 const RETRY_PAUSE_PER_MEMBER: Duration = Duration::from_millis(120);
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(500);
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(8);
