@@ -5760,101 +7355,129 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 194] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 262] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(182, 148, 136, 145, 188, 75, 89, 226),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(82, 119, 63, 158, 192, 182, 161, 212),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 114, 111, 110, 122, 101, 112, 111),
             ::capnp::word(114, 116, 46, 99, 97, 112, 110, 112),
             ::capnp::word(58, 71, 111, 115, 115, 105, 112, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5955,6 +7578,46 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 118, 97, 99, 117, 97, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 118, 97, 99, 117, 97, 116, 105),
+            ::capnp::word(111, 110, 69, 114, 97, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 118, 97, 99, 117, 97, 116, 105),
+            ::capnp::word(111, 110, 86, 101, 114, 115, 105, 111),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5969,6 +7632,10 @@
                 8 => <crate::bronzeport_capnp::load::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5982,9 +7649,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,0,8,3,2,1,10,9,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,12,13,14,6,11,0,8,3,2,1,10,9,4,5];
         pub(crate) const TYPE_ID: u64 = 0xe259_4bbc_9188_94b6;
     }
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -15,9 +15,12 @@
 
 use crate::Error;
 use crate::bronzeport_capnp::daemon;
-use crate::convert::{read_answer, read_changes, read_load, read_members, text_of, write_request};
+use crate::convert::{
+    read_answer, read_changes, read_load, read_members, read_quota_grants, text_of,
+    write_quota_request, write_request,
+};
 use crate::handshake::{HandshakeError, exchange};
-use crate::message::{Answer, Changes, Request};
+use crate::message::{Answer, Changes, QuotaGrant, QuotaRequest, Request};
 use crate::uplink::{PacedWriter, Uplink};
 
 /// Time without a response from the peer's TCP stack after which a connection fails.
@@ -95,4 +98,12 @@
         let lines = response.get()?.get_lines()?;
         lines.iter().map(text_of).collect()
     }
+
+    /// Hands over credit and asks for tokens of quotas.
+    pub async fn exchange_quota(&self, request: &QuotaRequest) -> Result<Vec<QuotaGrant>, Error> {
+        let mut message = self.daemon.exchange_quota_request();
+        write_quota_request(message.get().init_request(), request);
+        let response = message.send().promise.await?;
+        read_quota_grants(response.get()?.get_reply()?)
+    }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -11,7 +11,7 @@
 
 use crate::Error;
 use crate::bronzeport_capnp as schema;
-use crate::message::{Answer, Changes, Header, Request};
+use crate::message::{Answer, Changes, Header, QuotaGrant, QuotaRequest, QuotaWant, Request};
 
 pub(crate) fn text_of(reader: capnp::Result<text::Reader<'_>>) -> Result<Box<str>, Error> {
     Ok(reader?.to_str()?.into())
@@ -48,6 +48,8 @@
     to.set_aim_micros(micros_of(from.target_latency));
     to.set_once(from.once);
     to.set_entry(from.entry);
+    to.set_organisation(&*from.organisation);
+    to.set_organisation_priority(from.organisation_priority);
 }
 
 pub(crate) fn read_request(from: schema::request::Reader<'_>) -> Result<Request, Error> {
@@ -73,6 +75,8 @@
         target_latency: Duration::from_micros(from.get_aim_micros().into()),
         once: from.get_once(),
         entry: from.get_entry(),
+        organisation: text_of(from.get_organisation())?,
+        organisation_priority: from.get_organisation_priority(),
     })
 }
 
@@ -228,3 +232,52 @@
         .map(|hold| Hold { fingerprint: hold.get_fingerprint(), crash: hold.get_crash() });
     holds.collect()
 }
+
+pub(crate) fn write_quota_request(mut to: schema::quota_request::Builder<'_>, from: &QuotaRequest) {
+    to.set_from(from.from);
+    to.set_borrows(from.borrows);
+    to.set_credit(from.credit);
+    let mut list = to.init_wants(from.wants.len() as u32);
+    for (index, want) in from.wants.iter().enumerate() {
+        let mut item = list.reborrow().get(index as u32);
+        item.set_organisation(&*want.organisation);
+        item.set_tokens(want.tokens);
+    }
+}
+
+pub(crate) fn read_quota_request(
+    from: schema::quota_request::Reader<'_>,
+) -> Result<QuotaRequest, Error> {
+    let wants = from.get_wants()?.iter().map(|want| {
+        Ok(QuotaWant { organisation: text_of(want.get_organisation())?, tokens: want.get_tokens() })
+    });
+    Ok(QuotaRequest {
+        from: from.get_from(),
+        borrows: from.get_borrows(),
+        credit: from.get_credit(),
+        wants: wants.collect::<Result<_, Error>>()?,
+    })
+}
+
+pub(crate) fn write_quota_grants(to: schema::quota_reply::Builder<'_>, from: &[QuotaGrant]) {
+    let mut list = to.init_grants(from.len() as u32);
+    for (index, grant) in from.iter().enumerate() {
+        let mut item = list.reborrow().get(index as u32);
+        item.set_organisation(&*grant.organisation);
+        item.set_tokens(grant.tokens);
+        item.set_retry_after_millis(millis_of(grant.retry_after));
+    }
+}
+
+pub(crate) fn read_quota_grants(
+    from: schema::quota_reply::Reader<'_>,
+) -> Result<Vec<QuotaGrant>, Error> {
+    let grants = from.get_grants()?.iter().map(|grant| {
+        Ok(QuotaGrant {
+            organisation: text_of(grant.get_organisation())?,
+            tokens: grant.get_tokens(),
+            retry_after: Duration::from_millis(grant.get_retry_after_millis().into()),
+        })
+    });
+    grants.collect()
+}
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -9,11 +9,11 @@
 use crate::Error;
 use crate::bronzeport_capnp::gossip;
 use crate::convert::{
-    read_holds, read_load, read_member, read_members, write_holds, write_load, write_member,
-    write_members,
+    read_holds, read_load, read_member, read_members, text_of, write_holds, write_load,
+    write_member, write_members,
 };
 use crate::handshake::VERSION;
-use crate::message::Gossip;
+use crate::message::{Evacuation, Gossip};
 
 /// Largest datagram in bytes. It is below the smallest usual path MTU.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -54,6 +54,15 @@
         to.set_store_round(confirmation.round);
         to.set_store_age_millis(u32::try_from(confirmation.age.as_millis()).unwrap_or(u32::MAX));
     }
+    to.set_hosts(from.hosts);
+    if let Some(evacuation) = &from.evacuation {
+        to.set_evacuation_era(evacuation.era);
+        to.set_evacuation_version(evacuation.version);
+        let mut list = to.init_evacuated(evacuation.data_centres.len() as u32);
+        for (index, name) in evacuation.data_centres.iter().enumerate() {
+            list.set(index as u32, &**name);
+        }
+    }
     let mut bytes = vec![VERSION];
     serialize_packed::write_message(&mut bytes, &message).expect("writing to memory does not fail");
     bytes
@@ -91,5 +100,18 @@
                 Some(Confirmation { round, age })
             }
         },
+        hosts: from.get_hosts(),
+        evacuation: match from.get_evacuation_version() {
+            0 => None,
+            version => Some(Evacuation {
+                era: from.get_evacuation_era(),
+                version,
+                data_centres: from
+                    .get_evacuated()?
+                    .iter()
+                    .map(text_of)
+                    .collect::<Result<_, Error>>()?,
+            }),
+        },
     })
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -31,7 +31,8 @@
 pub use datagram::{MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
 pub use handshake::{HandshakeError, VERSION};
 pub use message::{
-    Answer, Changes, Gossip, Header, Outcome, Reason, Request, RpcReply, RpcRequest,
+    Answer, Changes, Evacuation, Gossip, Header, Outcome, QuotaGrant, QuotaRequest, QuotaWant,
+    Reason, Request, RpcReply, RpcRequest,
 };
 pub use serve::{RpcHandler, serve};
 pub use uplink::{PART_BYTES, PacedMessage, SendDecision, Uplink};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -69,6 +69,10 @@
     pub once: bool,
     /// Node of the daemon at which the request entered; 0 if unknown.
     pub entry: Node,
+    /// Organisation on whose behalf the request is sent; empty if there is none.
+    pub organisation: Box<str>,
+    /// Priority of the organisation, which goes before `rank`; 0 is the most urgent.
+    pub organisation_priority: u8,
 }
 
 /// Result of a call.
@@ -143,6 +147,56 @@
     pub load: Option<Load>,
     /// The latest read of the store that the sender knows of.
     pub confirmation: Option<Confirmation>,
+    /// Number of hosts in the fleet as far as the sender knows; 0 if unknown.
+    pub hosts: u32,
+    /// The evacuated data centres that the sender knows of; `None` before the first read of
+    /// the store.
+    pub evacuation: Option<Evacuation>,
+}
+
+/// The data centres whose targets get no requests, as of one position of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Evacuation {
+    /// Era of the store.
+    pub era: u64,
+    /// Version of the store. It is above 0.
+    pub version: u64,
+    /// Names of the data centres.
+    pub data_centres: Vec<Box<str>>,
+}
+
+/// Tokens of one organisation's quota that a daemon asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct QuotaWant {
+    /// Name of the organisation.
+    pub organisation: Box<str>,
+    /// Number of requests that the tokens are for.
+    pub tokens: f64,
+}
+
+/// A request of one daemon for tokens of quotas, which may also hand over accrued credit.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct QuotaRequest {
+    /// The requesting node.
+    pub from: Node,
+    /// Whether a coordinator borrows from another one. Otherwise, an entry asks its own.
+    pub borrows: bool,
+    /// Accrued time multiplied by the host's share of the fleet, in seconds. It counts for the
+    /// quotas of all organisations.
+    pub credit: f64,
+    /// The tokens that are asked for.
+    pub wants: Vec<QuotaWant>,
+}
+
+/// Tokens granted to a daemon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct QuotaGrant {
+    /// Name of the organisation.
+    pub organisation: Box<str>,
+    /// Number of tokens, at most the number asked for.
+    pub tokens: f64,
+    /// Time after which there are tokens for what was not granted.
+    pub retry_after: Duration,
 }
 
 /// Request of one daemon to another over TCP.
@@ -167,6 +221,8 @@
         /// Id of the request.
         id: Box<str>,
     },
+    /// Take over credit and grant tokens of quotas.
+    ExchangeQuota(QuotaRequest),
 }
 
 /// Reply to an [`RpcRequest`] of the same kind.
@@ -182,4 +238,6 @@
     Members(Vec<Member>),
     /// One line for each decision.
     Explain(Vec<Box<str>>),
+    /// The granted tokens.
+    ExchangeQuota(Vec<QuotaGrant>),
 }
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -16,7 +16,10 @@
 use crate::Error;
 use crate::bronzeport_capnp::daemon;
 use crate::client::DEAD_PEER_TIMEOUT;
-use crate::convert::{read_request, write_answer, write_changes, write_load, write_members};
+use crate::convert::{
+    read_quota_request, read_request, write_answer, write_changes, write_load, write_members,
+    write_quota_grants,
+};
 use crate::handshake::{HandshakeError, exchange};
 use crate::message::{RpcReply, RpcRequest};
 use crate::uplink::{PacedWriter, Uplink};
@@ -139,4 +142,19 @@
         }
         Ok(())
     }
+
+    async fn exchange_quota(
+        self: ServerRc<Self>,
+        params: daemon::ExchangeQuotaParams,
+        mut results: daemon::ExchangeQuotaResults,
+    ) -> Result<(), Error> {
+        let request = read_quota_request(params.get()?.get_request()?)?;
+        match self.handle(RpcRequest::ExchangeQuota(request)).await? {
+            RpcReply::ExchangeQuota(grants) => {
+                write_quota_grants(results.get().init_reply(), &grants);
+            }
+            _ => return Err(mismatched_reply()),
+        }
+        Ok(())
+    }
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -5,7 +5,7 @@
 use admit::Hold;
 use member::{Confirmation, Kind, Member, State};
 use quickcheck::quickcheck;
-use wire::{Gossip, MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
+use wire::{Evacuation, Gossip, MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
 
 fn member(node: u64, address: &str) -> Member {
     Member {
@@ -34,6 +34,12 @@
         digest: u64::MAX,
         load: None,
         confirmation: Some(Confirmation { round: u64::MAX, age: Duration::from_millis(1500) }),
+        hosts: 25_000,
+        evacuation: Some(Evacuation {
+            era: 3,
+            version: u64::MAX,
+            data_centres: vec!["lahore-1".into()],
+        }),
     }
 }
 
