Organisations and keys of callers

Callers belong to organisations and present keys.

The entry identifies the organisation for each request from the table in force: 503 without a configuration, then 404, then 401 (Reason::UnknownKey). Authorization headers are kept apart from the other headers and are forwarded only if no organisations are configured.

--- a/crates/config/src/active.rs
+++ b/crates/config/src/active.rs
@@ -1,6 +1,7 @@
 //! The configuration in force on one daemon.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 
 use crate::finding::Findings;
@@ -11,8 +12,9 @@
 /// Number of an accepted configuration. Revisions only grow.
 pub type Revision = u64;
 
-/// The newest version of a service file and the revision that introduced it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// The newest version of a service file and the revision that introduced it. `Debug` does not
+/// show the text, because a route table has the keys of organisations.
+#[derive(Clone, PartialEq, Eq)]
 pub struct Change {
     /// Revision by which the file became part of the configuration.
     pub revision: Revision,
@@ -194,6 +196,17 @@
     }
 }
 
+impl fmt::Debug for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Change")
+            .field("revision", &self.revision)
+            .field("published", &self.published)
+            .field("service", &self.service)
+            .field("body_bytes", &self.body.len())
+            .finish()
+    }
+}
+
 impl Entry {
     fn service(&self) -> Option<&Rc<Service>> {
         match &self.content {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -36,7 +36,7 @@
 
 pub use active::{ActiveConfig, Change, InstallResult, ReadTable, Revision};
 pub use finding::{Finding, Findings};
-pub use organisation::{Organisation, Quota};
+pub use organisation::{Organisation, Organisations, Quota, Rejection};
 pub use parse::Source;
 pub use route_table::{PathRule, RequestLimits, RouteTable, TargetSettings, WeightedService};
 pub use service::{Match, Pattern, Repeat, Rule, Service, Share};
--- a/crates/config/src/route_table.rs
+++ b/crates/config/src/route_table.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::active::Revision;
+use crate::organisation::Organisations;
 use crate::service::Repeat;
 
 /// The operators' configuration for all services.
@@ -16,6 +17,9 @@
     pub target_settings: Vec<TargetSettings>,
     /// Limits on callers' requests and connections.
     pub limits: RequestLimits,
+    /// The organisations with their keys; `None` if the configuration has no list of them, so
+    /// that requests need no key.
+    pub organisations: Option<Organisations>,
     hosts: HashMap<Box<str>, Vec<Rc<PathRule>>>,
 }
 
@@ -40,6 +44,8 @@
     pub rank: u8,
     /// Maximum number of targets that one request is sent to.
     pub max_attempts: u32,
+    /// Whether requests need no key of an organisation.
+    pub is_public: bool,
 }
 
 /// A service and its weight in a traffic split.
@@ -91,7 +97,14 @@
         for rules in hosts.values_mut() {
             rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
         }
-        Self { revision, target_settings: target_settings.into_iter().collect(), limits, hosts }
+        let target_settings = target_settings.into_iter().collect();
+        Self { revision, target_settings, limits, organisations: None, hosts }
+    }
+
+    /// Returns the table with these organisations. Requests on paths that are not public then
+    /// need a key of one of them.
+    pub fn with_organisations(self, organisations: Option<Organisations>) -> Self {
+        Self { organisations, ..self }
     }
 
     /// Returns the rule with the longest prefix that matches `path`. The path
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -15,6 +15,7 @@
 pub use wire::{Answer, Header, Outcome, Reason, Request};
 
 use crate::callers;
+pub use crate::credentials::{BearerKey, Credentials};
 
 /// Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
@@ -74,8 +75,10 @@
     pub method: Box<str>,
     /// Path and query.
     pub path: Box<str>,
-    /// Headers for the target.
+    /// Headers for the target, without those in `credentials`.
     pub headers: Vec<Header>,
+    /// The caller's credentials, if the protocol knows keys of organisations.
+    pub credentials: Credentials,
 }
 
 /// Where a request is to be routed.
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -77,6 +77,7 @@
     fn build_request(&self, call: &Call, remaining: Duration) -> Request {
         let settings = &call.settings;
         let spent = call.deadline.saturating_sub(remaining);
+        let organisation = call.organisation.as_deref();
         Request {
             id: call.id.clone(),
             service: call.service.clone(),
@@ -99,8 +100,10 @@
             target_latency: settings.target_latency.saturating_sub(spent),
             once: !call.is_repeatable() && !call.requires_claim(),
             entry: self.node,
-            organisation: "".into(),
-            organisation_priority: 0,
+            organisation: organisation.map_or_else(Box::default, |owner| owner.name.clone()),
+            // A call without an organisation, such as one that a target makes, has the highest
+            // priority: it must not starve behind the requests that caused it.
+            organisation_priority: organisation.map_or(0, |owner| owner.priority),
         }
     }
 
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -1,9 +1,10 @@
 //! A validated request of a caller, with the configuration that applies to it.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use config::{Match, PathRule, Repeat, Service};
+use config::{Match, Organisation, PathRule, Repeat, RouteTable, Service};
 use wire::{Header, Reason};
 
 use crate::adapter::{Refused, RequestHead};
@@ -26,10 +27,22 @@
     /// Number of calls above this one in a chain of nested calls.
     pub(crate) depth: u8,
     pub(crate) settings: RequestSettings,
+    /// The organisation on whose behalf the request is sent.
+    pub(crate) organisation: Option<Rc<Organisation>>,
     /// Hash of the service, method, path and body.
     pub(crate) fingerprint: u64,
 }
 
+/// What the configuration says of a request.
+#[derive(Debug)]
+pub(crate) struct Resolved {
+    /// Service that the request goes to.
+    pub(crate) service: Box<str>,
+    pub(crate) settings: RequestSettings,
+    /// The organisation whose key the caller presents.
+    pub(crate) organisation: Option<Rc<Organisation>>,
+}
+
 /// The configuration that applies to a request.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestSettings {
@@ -88,10 +101,10 @@
     }
 
     /// Returns the settings from a path rule of the route table.
-    pub(crate) fn from_path_rule(rule: &PathRule, revision: u64, max_body_bytes: usize) -> Self {
+    pub(crate) fn from_path_rule(rule: &PathRule, table: &RouteTable) -> Self {
         Self {
             kind: rule.name.clone(),
-            revision,
+            revision: table.revision,
             repeat: rule.repeat,
             may_wait: false,
             answer_within: rule.answer_within,
@@ -99,7 +112,7 @@
             target_latency: rule.target_latency,
             rank: rule.rank,
             max_attempts: rule.max_attempts,
-            max_body_bytes: max_body_bytes.min(wire::MAX_BODY_BYTES),
+            max_body_bytes: table.limits.max_body_bytes.min(wire::MAX_BODY_BYTES),
         }
     }
 
@@ -116,12 +129,8 @@
 impl Call {
     /// Builds a call from its parts. A request that must not run more than once needs an id
     /// from its caller; any other gets a generated id if it has none.
-    pub(crate) fn new(
-        head: RequestHead,
-        service: Box<str>,
-        settings: RequestSettings,
-        body: Bytes,
-    ) -> Result<Self, Refused> {
+    pub(crate) fn new(head: RequestHead, resolved: Resolved, body: Bytes) -> Result<Self, Refused> {
+        let Resolved { service, settings, organisation } = resolved;
         let id = match (head.id, settings.repeat) {
             (Some(id), _) => id,
             (None, Repeat::Safe) => uuid::Uuid::now_v7().to_string().into(),
@@ -145,6 +154,7 @@
             deadline: settings.deadline(head.deadline),
             depth: head.depth,
             settings,
+            organisation,
         })
     }
 
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -10,8 +10,8 @@
 use wire::{Outcome, Reason, Request};
 
 use crate::adapter::{
-    Destination, ExecutionStatus, FinalAnswer, Refused, RequestHead, TargetAnswer, TargetIdentity,
-    append_headers, end_to_end_headers, rate,
+    Credentials, Destination, ExecutionStatus, FinalAnswer, Refused, RequestHead, TargetAnswer,
+    TargetIdentity, append_headers, end_to_end_headers, rate,
 };
 use crate::call::refused;
 use crate::{headers, journal};
@@ -55,6 +55,7 @@
         method: parts.method.as_str().into(),
         path: path.into(),
         headers: end_to_end_headers(headers),
+        credentials: Credentials::default(),
     })
 }
 
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use config::stored::{self, Head};
-use config::{ActiveConfig, Change, InstallResult, PathRule, RequestLimits, Revision, Service};
+use config::{ActiveConfig, Change, InstallResult, PathRule, Revision, RouteTable, Service};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use store::{Cell, Failure, Row};
 use wire::Changes;
@@ -84,13 +84,12 @@
     NotReady,
 }
 
-/// The path rule for a request, with the settings of the route table that apply to it.
+/// The path rule for a request.
 #[derive(Debug)]
 pub(crate) struct MatchedPath {
     pub(crate) path: Rc<PathRule>,
-    pub(crate) limits: RequestLimits,
-    /// Revision of the route table.
-    pub(crate) revision: Revision,
+    /// The route table that the rule is from.
+    pub(crate) table: Rc<RouteTable>,
 }
 
 /// State of the configuration.
@@ -179,7 +178,7 @@
                 let table = self.active_config.route_table();
                 let found = table.and_then(|table| {
                     let path = table.find(&hostname, &path)?.clone();
-                    Some(MatchedPath { path, limits: table.limits, revision: table.revision })
+                    Some(MatchedPath { path, table: table.clone() })
                 });
                 reply.send(self.lookup_result(found));
             }
--- a/crates/daemon/src/configuration/tests.rs
+++ b/crates/daemon/src/configuration/tests.rs
@@ -17,6 +17,7 @@
         target_latency: Duration::from_secs(1),
         rank: 0,
         max_attempts: 2,
+        is_public: false,
     };
     let limits = RequestLimits {
         max_header_bytes: 8192,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use config::{Organisation, PathRule, RouteTable};
 use hyper::Response;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
@@ -16,7 +17,7 @@
 
 use crate::adapter::{Destination, FinalAnswer, ProtocolAdapter, Refused, RequestHead};
 use crate::attempt::Dispatcher;
-use crate::call::{Call, RequestSettings, refused};
+use crate::call::{Call, RequestSettings, Resolved, refused};
 use crate::claims::{Claims, TaggedRow};
 use crate::configuration::{Lookup, MatchedPath};
 use crate::journal::{self, Event};
@@ -204,11 +205,11 @@
         head: &Parts,
         body: Result<Bytes, BodyError>,
     ) -> Result<Call, Refused> {
-        let head = (self.adapter.read_head)(head)?;
-        let (service, settings) = self.find_settings(&head).await?;
-        let max_body_bytes = settings.max_body_bytes;
+        let mut head = (self.adapter.read_head)(head)?;
+        let resolved = self.resolve(&mut head).await?;
+        let max_body_bytes = resolved.settings.max_body_bytes;
         match body {
-            Ok(body) if body.len() <= max_body_bytes => Call::new(head, service, settings, body),
+            Ok(body) if body.len() <= max_body_bytes => Call::new(head, resolved, body),
             Ok(_) | Err(BodyError::TooLarge) => {
                 let text = format!("the body is larger than {max_body_bytes} bytes");
                 Err(refused(Reason::TooLarge, text))
@@ -218,17 +219,16 @@
         }
     }
 
-    /// Looks up the service of a request and the settings that apply to the request.
-    async fn find_settings(
-        &self,
-        head: &RequestHead,
-    ) -> Result<(Box<str>, RequestSettings), Refused> {
+    /// Looks up the service and the organisation of a request, and the settings that apply to
+    /// the request. Leaves the headers that may be forwarded in `head`.
+    async fn resolve(&self, head: &mut RequestHead) -> Result<Resolved, Refused> {
         match &head.destination {
             Destination::Service { name } => {
                 let message = |reply| configuration::Message::Service { name: name.clone(), reply };
                 let found = self.configuration.request(message).await;
                 let service = require_found(found, Reason::UnknownService, name)?;
-                Ok((service.name.clone(), RequestSettings::from_rule(&service, head)?))
+                let settings = RequestSettings::from_rule(&service, head)?;
+                Ok(Resolved { service: service.name.clone(), settings, organisation: None })
             }
             Destination::Hostname { hostname } => {
                 let message = |reply| configuration::Message::Path {
@@ -237,20 +237,45 @@
                     reply,
                 };
                 let found = self.configuration.request(message).await;
-                let MatchedPath { path, limits, revision } =
+                let MatchedPath { path, table } =
                     require_found(found, Reason::UnknownPath, hostname)?;
+                let organisation = self.identify(head, &path, &table)?;
                 let draw = self.splits.borrow_mut().draw(&path.name);
                 let service = path.choose_service(draw).ok_or_else(|| {
                     refused(Reason::UnknownPath, format!("{} leads to no service", path.name))
                 })?;
-                Ok((
-                    service.into(),
-                    RequestSettings::from_path_rule(&path, revision, limits.max_body_bytes),
-                ))
+                let settings = RequestSettings::from_path_rule(&path, &table);
+                Ok(Resolved { service: service.into(), settings, organisation })
             }
         }
     }
 
+    /// Returns the organisation whose key the caller presents, or refuses a request that needs
+    /// a key and has no known one. The caller's credentials are not forwarded if organisations
+    /// are configured.
+    fn identify(
+        &self,
+        head: &mut RequestHead,
+        path: &PathRule,
+        table: &RouteTable,
+    ) -> Result<Option<Rc<Organisation>>, Refused> {
+        let credentials = std::mem::take(&mut head.credentials);
+        let Some(organisations) = &table.organisations else {
+            head.headers.extend(credentials.into_headers());
+            return Ok(None);
+        };
+        let organisation = credentials.key().and_then(|key| organisations.find(key.as_bytes()));
+        if organisation.is_some() || path.is_public {
+            return Ok(organisation.cloned());
+        }
+        metrics::counter!("bronzeport_unknown_keys_total", "path" => path.name.to_string())
+            .increment(1);
+        if let Some(id) = &head.id {
+            self.record(id, Event::UnknownKey { kind: path.name.clone() });
+        }
+        Err(refused(Reason::UnknownKey, "the request has no key that is in force"))
+    }
+
     /// Returns a refusal for a call that must not be sent to any target.
     async fn check(&self, call: &Call) -> Option<Answer> {
         let not_run = |reason| Answer::refusal(Outcome::NotRun, reason, self.node);
@@ -263,7 +288,17 @@
         let fingerprint = call.fingerprint;
         let held =
             self.router.request(|reply| router::Message::HeldFor { fingerprint, reply }).await;
-        held.flatten().map(|remaining| Answer { retry_after: remaining, ..not_run(Reason::Held) })
+        if let Some(remaining) = held.flatten() {
+            return Some(Answer { retry_after: remaining, ..not_run(Reason::Held) });
+        }
+        self.check_quota(call).await
+    }
+
+    /// Returns a refusal for a call beyond the quota of its organisation. It is the last check,
+    /// so that no call that is refused for another reason counts against a quota.
+    async fn check_quota(&self, call: &Call) -> Option<Answer> {
+        let _quota = call.organisation.as_ref()?.quota?;
+        None
     }
 
     /// Runs a request that may not be repeated. Its row in the store is read first, so that a
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -51,6 +51,11 @@
         /// Number of earlier requests on the same connection that were not answered yet.
         ahead: u64,
     },
+    /// The request was refused because it has no key that is in force.
+    UnknownKey {
+        /// Name of the path rule.
+        kind: Box<str>,
+    },
     /// The request was sent to a guard.
     Sent {
         #[serde(serialize_with = "write_hex")]
@@ -171,9 +176,10 @@
             Self::Ended { outcome: Outcome::Ran, status, is_late: false, .. } if *status < 500 => {
                 RequestState::EndedWell
             }
-            Self::Ended { .. } | Self::Refused { .. } | Self::Left { .. } => {
-                RequestState::EndedBadly
-            }
+            Self::UnknownKey { .. }
+            | Self::Ended { .. }
+            | Self::Refused { .. }
+            | Self::Left { .. } => RequestState::EndedBadly,
             Self::Ran { outcome: Outcome::Ran, status, is_late: false, .. } if *status < 500 => {
                 RequestState::EndedWell
             }
@@ -188,6 +194,7 @@
             Self::Arrived { service, depth, .. } => {
                 format!("{ARRIVED} for {service} at depth {depth}")
             }
+            Self::UnknownKey { kind } => format!("refused on {kind}: no key that is in force"),
             Self::Sent { to, may_queue: true, estimate } => {
                 format!("sent to {to:016x}, may queue, {}", estimate.text())
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod callers;
 mod claims;
 mod configuration;
+mod credentials;
 mod entry;
 mod guard;
 mod headers;
--- a/crates/store/src/row.rs
+++ b/crates/store/src/row.rs
@@ -47,8 +47,9 @@
 /// State in which a row was read: the version that wrote it, or 0 if there was no row.
 pub type Tag = Position;
 
-/// A row of a table.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A row of a table. `Debug` does not show the text, because the row of the configuration has the
+/// keys of organisations.
+#[derive(Clone, PartialEq, Eq)]
 pub struct Row {
     /// Key of the row: the name of its table, a slash, and the key in that table.
     pub key: Box<str>,
@@ -58,6 +59,17 @@
     pub value: Box<str>,
 }
 
+impl fmt::Debug for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { key, tag, value } = self;
+        f.debug_struct("Row")
+            .field("key", key)
+            .field("tag", tag)
+            .field("value_bytes", &value.len())
+            .finish()
+    }
+}
+
 /// Result of reading one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Cell {
