Membership: few datagrams to far data centres, and counters of bytes by kind

Traffic between data centres is expensive, and an idle fleet of 87 daemons moved 4 KB/s a daemon between them, most of it announcements of load to random members.

Pings go to the own data centre, one every 4 s to a far one. An unanswered ping or a suspicion there causes more pings of that data centre, so its loss is noticed as fast as before. Urgent news goes to more members near by and from a few of them to far members. The load of a target is announced only to far hosts that sent a request in the last second, two a second. Lists are compared with far members by a few members of each data centre. The counter bronzeport_traffic_bytes_total has the bytes by kind and data centre.

Without the setting, and while no data centre is far, the datagrams are the same as before.

Tests of member, daemon and wire pass.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::call::Call;
 use crate::journal::{self, Event};
 use crate::router::Route;
-use crate::{guard, headers, names, peers, router};
+use crate::{guard, headers, membership, names, peers, router};
 
 /// Margin by which the deadline sent to a guard is earlier than the call's deadline. A
 /// guard refuses a request that is still queued at its deadline, and this refusal, which
@@ -45,6 +45,7 @@
     router: Mailbox<router::Message>,
     peers: Mailbox<peers::Message>,
     journal: Mailbox<journal::Message>,
+    membership: Mailbox<membership::Message>,
     guard: guard::Handle,
 }
 
@@ -69,6 +70,7 @@
             router: kernel.service(names::ROUTER),
             peers: kernel.service(names::PEERS),
             journal: kernel.service(names::JOURNAL),
+            membership: kernel.service(names::MEMBERSHIP),
             guard,
         }
     }
@@ -344,6 +346,8 @@
         let Some(client) = self.peers.request(message).await.flatten() else {
             return Answer::refusal(Outcome::NotRun, Reason::Unreachable, node);
         };
+        let (kind, peer, bytes) = ("calls", membership::Peer::Node(node), request.wire_size());
+        self.membership.send(membership::Message::Transferred { kind, peer, bytes });
         match client.call(&request).await {
             Ok(answer) => answer,
             Err(_) => unknown(Reason::Cut),
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -393,9 +393,14 @@
 
 async fn pull(kernel: &Kernel, address: Box<str>, after: Revision) -> Option<Changes> {
     let peers: Mailbox<peers::Message> = kernel.service(names::PEERS);
+    let peer = membership::Peer::Address(address.clone());
     let client = peers.request(|reply| peers::Message::Connect { address, reply }).await??;
     let changes = kernel.clock().timeout(PULL_TIMEOUT, client.changes(after)).await;
-    changes.ok()?.ok()
+    let changes = changes.ok()?.ok()?;
+    let membership: Mailbox<membership::Message> = kernel.service(names::MEMBERSHIP);
+    let (kind, bytes) = ("configuration", changes.wire_size());
+    membership.send(membership::Message::Transferred { kind, peer, bytes });
+    Some(changes)
 }
 
 async fn read_head(kernel: &Kernel) -> Result<StoredHead, Failure> {
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -24,6 +24,9 @@
 const CONNECT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Factor by which the pace must change before the load is published at once.
 const PACE_PUBLISH_FACTOR: f64 = 1.4;
+/// Maximum age of the latest request from a node of a far data centre that a slowdown is
+/// announced to.
+const RECENT_REQUEST_AGE: Duration = Duration::from_secs(1);
 /// Pace in percent above which a request that may not queue is refused if it would miss
 /// its target latency, so that its entry tries another target.
 const SLOW_PACE: u16 = 150;
@@ -69,7 +72,11 @@
             true => self.recent_requesters.latest().collect(),
             false => Vec::new(),
         };
-        membership.send(membership::Message::Load { load, requesters });
+        let recent = match requesters.is_empty() {
+            true => Vec::new(),
+            false => self.recent_requesters.since(self.now() - RECENT_REQUEST_AGE).collect(),
+        };
+        membership.send(membership::Message::Load { load, requesters, recent });
     }
 
     /// The state of the guard for the events of a request.
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -158,7 +158,7 @@
     /// Handles a request that an entry has sent.
     fn arrive(&mut self, ticket: Ticket, request: Request, reply: Reply<Answer>) {
         let now = self.now();
-        self.recent_requesters.record(request.entry);
+        self.recent_requesters.record_at(now, request.entry);
         if let Some(refusal) = self.check(now, &request) {
             self.record_event(
                 &request.id,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,7 +7,7 @@
 use admit::Hold;
 use futures_lite::FutureExt;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use member::{Action, Freshness, GossipQueue, Kind, Member, Members, State};
+use member::{Action, FarReach, Freshness, GossipQueue, Kind, Member, Members, State};
 use route::{Load, Node};
 use store::{CommitResult, Condition, Era, Write};
 use tokio::net::UdpSocket;
@@ -95,7 +95,10 @@
     /// The load of the local target has changed considerably. The nodes in `requesters`,
     /// which have recently sent requests to the target, are informed before others, the most
     /// recent first.
-    Load { load: Load, requesters: Vec<Node> },
+    /// Of far data centres, only those in `recent` are informed.
+    Load { load: Load, requesters: Vec<Node>, recent: Vec<Node> },
+    /// The local node has exchanged a message over TCP with a peer.
+    Transferred { kind: &'static str, peer: Peer, bytes: usize },
     /// The local target serves this service.
     AnnounceService { service: Box<str>, slots: u16 },
     /// Announces that the local node is leaving.
@@ -104,6 +107,21 @@
     AnnounceLeft,
 }
 
+/// The other side of a transfer.
+#[derive(Debug)]
+pub(crate) enum Peer {
+    Node(Node),
+    Address(Box<str>),
+}
+
+/// Purpose of a datagram, as the counters name it.
+#[derive(Debug, Clone, Copy)]
+enum Purpose {
+    Detection,
+    Load,
+    News,
+}
+
 /// How many members started before the local node, and how long gossip has been absent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Seniority {
@@ -140,11 +158,13 @@
     local: Member,
     bootstrap_peers: Vec<SocketAddr>,
     join_within: Duration,
+    locality_rtt: Option<Duration>,
     seed: u64,
 ) -> std::io::Result<()> {
     socket.set_nonblocking(true)?;
     let inbox = kernel.register(names::MEMBERSHIP);
-    let members = Members::new(kernel.clock().now(), local, seed);
+    let mut members = Members::new(kernel.clock().now(), local, seed);
+    members.set_locality_rtt(locality_rtt);
     let task = Task {
         kernel: kernel.clone(),
         socket: UdpSocket::from_std(socket)?,
@@ -193,7 +213,7 @@
                     let now = self.kernel.clock().now();
                     next_tick = now + TICK;
                     let actions = self.members.tick(now);
-                    self.execute(actions);
+                    self.execute(actions, Purpose::Detection);
                     self.forward_holds(now);
                     self.forward_confirmation();
                 }
@@ -234,7 +254,7 @@
             })),
             Message::Confirmed { read_at } => {
                 self.freshness.confirm(read_at);
-                self.spread();
+                self.spread(FarReach::Origin);
             }
             Message::Seniority { reply } => drop(reply.send(Seniority {
                 earlier: self.members.count_earlier(),
@@ -247,42 +267,63 @@
             }
             Message::Merge(list) => {
                 if self.members.merge(now, list) {
-                    let actions = self.members.spread([], JOIN_FANOUT, JOIN_FANOUT);
-                    self.execute(actions);
+                    let far = FarReach::Origin;
+                    let actions = self.members.spread_near([], JOIN_FANOUT, JOIN_FANOUT, far);
+                    self.execute(actions, Purpose::News);
                 }
             }
             Message::Revision(revision) => {
                 self.revision = self.revision.max(revision);
-                self.spread();
+                self.spread(FarReach::Relay);
             }
             Message::SpreadHolds(holds) => {
                 self.holds.insert_new(holds);
-                self.spread_holds(now);
+                self.spread_holds(now, FarReach::Origin);
             }
-            Message::Load { load, requesters } => {
+            Message::Load { load, requesters, recent } => {
                 self.load = Some(load);
-                let actions =
-                    self.members.spread(requesters, LOAD_FANOUT_LOCAL, LOAD_FANOUT_REMOTE);
-                self.execute(actions);
+                let far = FarReach::Only(self.members.admit_far_loads(now, recent));
+                let (local, remote) = (LOAD_FANOUT_LOCAL, LOAD_FANOUT_REMOTE);
+                let actions = self.members.spread_near(requesters, local, remote, far);
+                self.execute(actions, Purpose::Load);
+            }
+            Message::Transferred { kind, peer, bytes } => {
+                let member = match peer {
+                    Peer::Node(node) => self.members.find(node),
+                    Peer::Address(address) => self.members.at_address(&address),
+                };
+                self.count_sent(kind, member, bytes);
             }
             Message::AnnounceService { service, slots } => {
                 self.members.announce_service(service, slots);
-                self.spread();
+                self.spread(FarReach::Origin);
             }
             Message::AnnounceLeaving => {
                 self.members.announce_leaving();
-                self.spread();
+                self.spread(FarReach::Origin);
             }
             Message::AnnounceLeft => {
                 self.members.announce_left();
-                self.spread();
+                self.spread(FarReach::Origin);
             }
         }
     }
 
-    fn spread(&mut self) {
-        let actions = self.members.spread([], URGENT_FANOUT_LOCAL, URGENT_FANOUT_REMOTE);
-        self.execute(actions);
+    fn spread(&mut self, far: FarReach) {
+        let (local, remote) = (URGENT_FANOUT_LOCAL, URGENT_FANOUT_REMOTE);
+        let actions = self.members.spread_near([], local, remote, far);
+        self.execute(actions, Purpose::News);
+    }
+
+    /// Counts bytes exchanged with a member, or with an unknown one, which counts as remote.
+    fn count_sent(&self, kind: &'static str, member: Option<&Member>, bytes: usize) {
+        let local = &self.members.local().data_centre;
+        let is_local = member.is_some_and(|member| member.data_centre == *local);
+        let data_centre = if is_local { "local" } else { "remote" };
+        metrics::counter!(
+            "bronzeport_traffic_bytes_total", "kind" => kind, "data_centre" => data_centre
+        )
+        .increment(bytes as u64);
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -324,7 +365,7 @@
             digest: gossip.digest,
         };
         let actions = self.members.receive(self.kernel.clock().now(), message);
-        self.execute(actions);
+        self.execute(actions, Purpose::Detection);
     }
 
     fn apply_holds(&mut self, holds: Vec<Hold>) {
@@ -339,37 +380,37 @@
     /// Sends holds to some members if any are pending and the budget permits a round.
     fn forward_holds(&mut self, now: Instant) {
         if self.holds.has_pending() && self.hold_budget_used_until <= now + HOLD_ROUND_BURST {
-            self.spread_holds(now);
+            self.spread_holds(now, FarReach::Relay);
         }
     }
 
-    fn spread_holds(&mut self, now: Instant) {
+    fn spread_holds(&mut self, now: Instant, far: FarReach) {
         self.hold_budget_used_until = self.hold_budget_used_until.max(now) + HOLD_ROUND_INTERVAL;
-        self.spread();
+        self.spread(far);
     }
 
     /// Passes the latest read of the store on, unless enough other datagrams have carried it.
     fn forward_confirmation(&mut self) {
         if self.freshness.has_pending() {
-            let actions =
-                self.members.spread([], CONFIRMATION_FANOUT_LOCAL, CONFIRMATION_FANOUT_REMOTE);
-            self.execute(actions);
+            let (local, remote) = (CONFIRMATION_FANOUT_LOCAL, CONFIRMATION_FANOUT_REMOTE);
+            let actions = self.members.spread_near([], local, remote, FarReach::Round);
+            self.execute(actions, Purpose::News);
         }
     }
 
-    fn execute(&mut self, actions: Vec<Action>) {
+    fn execute(&mut self, actions: Vec<Action>, purpose: Purpose) {
         for action in actions {
             match action {
                 Action::Send { to, kind, sequence, subject } => {
-                    self.send(&to, kind, sequence, subject);
+                    self.send(&to, kind, sequence, subject, purpose);
                 }
                 Action::Sync { with } => self.kernel.start(sync(self.kernel.clone(), with)),
             }
         }
     }
 
-    fn send(&mut self, to: &str, kind: Kind, sequence: u64, subject: u64) {
-        let Ok(to) = to.parse::<SocketAddr>() else {
+    fn send(&mut self, to: &str, kind: Kind, sequence: u64, subject: u64, purpose: Purpose) {
+        let Ok(address) = to.parse::<SocketAddr>() else {
             return;
         };
         let gossip = Gossip {
@@ -390,7 +431,13 @@
         metrics::counter!("bronzeport_gossip_sent_bytes_total").increment(bytes.len() as u64);
         metrics::counter!("bronzeport_gossip_sent_total").increment(1);
         // A datagram that cannot be sent is treated like one lost in the network.
-        let _ = self.socket.try_send_to(&bytes, to);
+        let _ = self.socket.try_send_to(&bytes, address);
+        let counted = match (kind, purpose) {
+            (Kind::Updates, Purpose::Load) => "gossip-load",
+            (Kind::Updates, _) => "gossip-update",
+            _ => "gossip-ping",
+        };
+        self.count_sent(counted, self.members.at_address(to), bytes.len());
     }
 
     /// Reports a changed member list to the other services. Changes in quick succession,
@@ -447,8 +494,9 @@
 async fn sync(kernel: Kernel, with: Box<str>) {
     let membership: Mailbox<Message> = kernel.service(names::MEMBERSHIP);
     let peers: Mailbox<peers::Message> = kernel.service(names::PEERS);
+    let address = with.clone();
     let Some(Some(client)) =
-        peers.request(|reply| peers::Message::Connect { address: with, reply }).await
+        peers.request(|reply| peers::Message::Connect { address, reply }).await
     else {
         return;
     };
@@ -460,6 +508,11 @@
             return;
         };
         let is_last = members.len() < SYNC_PAGE;
+        membership.send(Message::Transferred {
+            kind: "lists",
+            peer: Peer::Address(with.clone()),
+            bytes: wire::list_size(&digests, &members),
+        });
         membership.send(Message::Merge(members));
         if is_last {
             return;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -151,7 +151,8 @@
     };
     let local = local_member(settings, node);
     let bootstrap_peers = settings.peers.clone();
-    membership::start(kernel, socket, local, bootstrap_peers, settings.join_within, seed)
+    let (join_within, locality_rtt) = (settings.join_within, settings.locality_rtt);
+    membership::start(kernel, socket, local, bootstrap_peers, join_within, locality_rtt, seed)
         .describe(|| "cannot start gossip".into())?;
     settlement::start(kernel);
     // With a route table, requests have no rows in the store.
@@ -353,7 +354,11 @@
         Box::pin(async move {
             match request {
                 RpcRequest::Call(call) => {
+                    let peer = membership::Peer::Node(call.entry);
                     let answer = calls.run(*call).await?;
+                    let bytes = answer.wire_size();
+                    let kind = "answers";
+                    membership.send(membership::Message::Transferred { kind, peer, bytes });
                     Some(RpcReply::Call(Box::new(answer)))
                 }
                 RpcRequest::Load => {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -15,10 +15,12 @@
 
 use crate::journal::TargetEstimate;
 use crate::settings::Settings;
-use crate::{names, peers};
+use crate::{membership, names, peers};
 
 /// Time limit of a load probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Approximate number of bytes of a load probe and its reply.
+const PROBE_BYTES: usize = 250;
 /// Budgets for services that the route table leads to. The platform limits all requests
 /// beyond the first attempt to a fifth of the calls, and counts the calls to other services
 /// that a repeated request makes.
@@ -364,6 +366,9 @@
             let Some(client) = client else {
                 return;
             };
+            let (kind, peer, bytes) = ("probes", membership::Peer::Node(node), PROBE_BYTES);
+            let membership: Mailbox<membership::Message> = kernel.service(names::MEMBERSHIP);
+            membership.send(membership::Message::Transferred { kind, peer, bytes });
             if let Ok(Ok(load)) = kernel.clock().timeout(PROBE_TIMEOUT, client.load()).await {
                 mailbox.send(Message::Probed { service, node, load });
             }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -51,6 +51,9 @@
     /// Cost of transferring a megabyte between data centres when a target is chosen, as
     /// time in seconds.
     pub transfer_cost: f64,
+    /// Round-trip time from which on other data centres receive requests only when the local
+    /// one lacks capacity, and few datagrams; `None` if all data centres count as close.
+    pub locality_rtt: Option<Duration>,
     /// Speed of the host's link in Mbit/s; 0 if unknown.
     pub link: f64,
     /// Time after the announcement of a stop in which the daemon still accepts callers.
@@ -122,7 +125,7 @@
     Setting { flag, unit, default, help }
 }
 
-const SETTINGS: [Setting; 23] = [
+const SETTINGS: [Setting; 24] = [
     setting("listen", "IP:PORT", "127.0.0.1:8000", "address for callers"),
     setting("peer-listen", "IP:PORT", "127.0.0.1:8100", "address for other daemons, TCP and UDP"),
     setting(
@@ -169,6 +172,12 @@
         "0",
         "cost of a megabyte between data centres in the choice of a target, 0 to 1000",
     ),
+    setting(
+        "locality-rtt",
+        "seconds",
+        "",
+        "round trip from which on other data centres are used only if needed, 0 to 10; empty: off",
+    ),
     setting("link", "Mbit/s", "0", "speed of the host's link, 0.1 to 1000000; 0 if unknown"),
     setting("linger", "seconds", "1", "time to keep accepting callers when stopping, 0 to 60"),
     setting("interface", "name", "callers", "interface to callers and targets: callers, platform"),
@@ -333,17 +342,7 @@
 
     /// Parses a time in seconds, with or without a unit: `6`, `6s`, `1.5s`, `1500ms`.
     fn seconds(&mut self, flag: &str, max: f64) -> Option<Duration> {
-        self.require(flag, |text| {
-            let (number, unit) = match text.strip_suffix("ms") {
-                Some(number) => (number, 1e-3),
-                None => (text.strip_suffix('s').unwrap_or(text), 1.0),
-            };
-            let seconds = number.parse::<f64>().ok().map(|number| number * unit);
-            let seconds = seconds.filter(|seconds| (0.0..=max).contains(seconds));
-            seconds
-                .map(Duration::from_secs_f64)
-                .ok_or_else(|| format!("expected a number from 0 to {max}").into())
-        })
+        self.require(flag, |text| scan_seconds(text, max))
     }
 
     fn target(&mut self) -> Option<Target> {
@@ -387,6 +386,7 @@
         let linger = raw.seconds("linger", 60.0);
         let link = raw.speed("link", 0.1, 1e6);
         let transfer_cost = raw.seconds("transfer-cost", 1000.0);
+        let locality_rtt = raw.parse("locality-rtt", |text| scan_seconds(text, 10.0));
         let interface = raw.require("interface", |text| Interface::try_from(text));
         let announce = raw.parse("announce", scan_address);
         let ready = raw.parse("ready", scan_address);
@@ -409,6 +409,7 @@
                 interface: interface?,
                 announce,
                 ready,
+                locality_rtt,
                 link: link?,
                 linger: linger?,
                 clock_behind: Duration::ZERO,
@@ -452,6 +453,18 @@
     is_known.then(|| text.into()).ok_or_else(|| "expected error, warn, info or debug".into())
 }
 
+fn scan_seconds(text: &str, max: f64) -> Result<Duration, Box<str>> {
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1e-3),
+        None => (text.strip_suffix('s').unwrap_or(text), 1.0),
+    };
+    let seconds = number.parse::<f64>().ok().map(|number| number * unit);
+    let seconds = seconds.filter(|seconds| (0.0..=max).contains(seconds));
+    seconds
+        .map(Duration::from_secs_f64)
+        .ok_or_else(|| format!("expected a number from 0 to {max}").into())
+}
+
 fn scan_name(text: &str) -> Result<Box<str>, Box<str>> {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
     let is_name = text.len() <= 64 && text.bytes().all(allowed);
--- a/crates/member/src/detect.rs
+++ b/crates/member/src/detect.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Node;
+use crate::locality::FarReach;
 use crate::members::Members;
 use crate::peer::{Member, State};
 use crate::update_queue::MAX_UPDATES;
@@ -183,7 +184,12 @@
             self.ping_next(now, &mut actions);
             self.remove_expired(now);
         }
-        if self.updates.len() > MAX_UPDATES && now >= self.detector.next_updates {
+        let alert_pings = self.next_alert_pings(now);
+        for node in self.next_far_ping(now).into_iter().chain(alert_pings) {
+            self.ping(now, node, None, &mut actions);
+        }
+        let has_news = self.locality.news_sends > 0;
+        if (self.updates.len() > MAX_UPDATES || has_news) && now >= self.detector.next_updates {
             self.detector.next_updates = now + UPDATES_INTERVAL;
             self.send_updates(&mut actions);
         }
@@ -202,6 +208,7 @@
     pub fn receive(&mut self, now: Instant, message: Message) -> Vec<Action> {
         let mut actions = Vec::new();
         let from = message.sender.address.clone();
+        let data_centre = message.sender.data_centre.clone();
         self.apply_direct_update(now, message.sender);
         for update in message.updates {
             self.apply_update(now, update);
@@ -215,7 +222,8 @@
             }
             Kind::Updates => {}
         }
-        if message.digest != self.digest() && now >= self.detector.next_sync {
+        let is_sync_due = message.digest != self.digest() && now >= self.detector.next_sync;
+        if is_sync_due && self.may_sync_with(&data_centre) {
             self.detector.next_sync = now + SYNC_INTERVAL;
             actions.push(Action::Sync { with: from });
         }
@@ -245,7 +253,7 @@
 
     /// Returns at most `count` present members that satisfy `is_wanted`: first the nodes of
     /// `preferred`, in that order, then random ones.
-    fn pick_preferred(
+    pub(crate) fn pick_preferred(
         &mut self,
         preferred: &[Node],
         count: usize,
@@ -294,6 +302,7 @@
                 && self.needs_ping_requests(&ping)
             {
                 self.send_ping_requests(sequence, ping.node, actions);
+                self.alert_if_far(ping.node);
             }
         }
     }
@@ -312,7 +321,11 @@
         }
         match self.find(ping.node).map(|member| member.state) {
             Some(State::Alive) => {
-                self.detector.raise_health_penalty();
+                // Pings within the data centre show whether this node misjudges others. While
+                // a far data centre is lost, those to it would raise all timeouts.
+                if !self.is_far_node(ping.node) {
+                    self.detector.raise_health_penalty();
+                }
                 self.set_state(now, ping.node, State::Suspect);
             }
             Some(State::Leaving) => self.set_state(now, ping.node, State::Left),
@@ -336,7 +349,14 @@
         if let Some(ping) = self.detector.pending.get_mut(&sequence) {
             ping.ping_requests_sent = true;
         }
-        let receivers = self.pick_random(PING_REQUESTS + 1, |member| member.state == State::Alive);
+        let far = self.far_data_centres();
+        let is_near_subject = self
+            .find(subject)
+            .is_some_and(|member| member.data_centre == self.local.data_centre && !far.is_empty());
+        let receivers = self.pick_random(PING_REQUESTS + 1, |member| {
+            let is_far = is_near_subject && far.contains(&member.data_centre);
+            member.state == State::Alive && !is_far
+        });
         let receivers = receivers.into_iter().filter(|node| *node != subject).take(PING_REQUESTS);
         for node in receivers {
             if let Some(receiver) = self.find(node) {
@@ -355,24 +375,31 @@
             return;
         }
         self.detector.health_penalty = self.detector.health_penalty.saturating_sub(1);
-        if !ping.ping_requests_sent {
-            let data_centre = self.find(ping.node).map(|member| member.data_centre.clone());
-            if let Some(data_centre) = data_centre {
+        let data_centre = self.find(ping.node).map(|member| member.data_centre.clone());
+        if let Some(data_centre) = data_centre {
+            if !ping.ping_requests_sent {
                 self.record_rtt(&data_centre, now.duration_since(ping.sent));
             }
+            self.clear_alert(&data_centre);
         }
     }
 
     /// Pings the next member of the rotation. Each round pings all present members once, in
-    /// random order.
+    /// random order, without those of far data centres that have others to ping them.
     fn ping_next(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let far = self.far_data_centres();
+        let lone = if far.is_empty() { Vec::new() } else { self.lone_nodes() };
+        let is_in_rotation = |member: &Member| {
+            member.state.is_present()
+                && (!far.contains(&member.data_centre) || lone.contains(&member.node))
+        };
         while let Some(node) = self.detector.order.pop() {
-            if self.find(node).is_some_and(|member| member.state.is_present()) {
+            if self.find(node).is_some_and(is_in_rotation) {
                 self.ping(now, node, None, actions);
                 return;
             }
         }
-        let present = self.peers.values().filter(|peer| peer.member.state.is_present());
+        let present = self.peers.values().filter(|peer| is_in_rotation(&peer.member));
         let mut order: Vec<Node> = present.map(|peer| peer.member.node).collect();
         self.random.shuffle(&mut order);
         if let Some(node) = order.pop() {
@@ -381,8 +408,16 @@
         }
     }
 
-    /// Sends queued updates to one random member.
+    /// Sends queued updates to one random member, and new ones from a few members of each data
+    /// centre to a far member as well.
     fn send_updates(&mut self, actions: &mut Vec<Action>) {
+        let far = self.far_data_centres();
+        if !far.is_empty() {
+            self.locality.news_sends = self.locality.news_sends.saturating_sub(1);
+            actions.extend(self.spread_near([], 1, 0, FarReach::Relay));
+            return;
+        }
+        self.locality.news_sends = 0;
         for node in self.pick_random(1, |member| member.state.is_present()) {
             if let Some(member) = self.find(node) {
                 actions.push(send(member.address.clone(), Kind::Updates, 0, 0));
@@ -403,6 +438,7 @@
     /// Pings one address of a recently departed member, where another daemon may have started.
     fn ping_departed(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let departed: Vec<Node> = self.departed_within(now, REJOIN_WINDOW).collect();
+        let departed = self.without_far(departed);
         if let Some(node) = self.random.choice(departed) {
             self.ping(now, node, None, actions);
         }
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -6,6 +6,7 @@
 use crate::Node;
 use crate::detect::Detector;
 use crate::digest::{BUCKETS, bucket_of, digest_of};
+use crate::locality::Locality;
 use crate::peer::{Absence, Member, Peer, State};
 use crate::update_queue::UpdateQueue;
 
@@ -24,6 +25,7 @@
     addresses: HashMap<Box<str>, Node>,
     pub(crate) updates: UpdateQueue,
     pub(crate) detector: Detector,
+    pub(crate) locality: Locality,
     pub(crate) random: fastrand::Rng,
     /// Shortest recent round-trip time to each data centre.
     rtts: HashMap<Box<str>, Duration>,
@@ -41,6 +43,7 @@
             addresses: HashMap::new(),
             updates: UpdateQueue::default(),
             detector: Detector::new(now),
+            locality: Locality::default(),
             random: fastrand::Rng::with_seed(seed),
             rtts: HashMap::new(),
             digests: vec![0; BUCKETS],
@@ -104,7 +107,21 @@
 
     /// Returns the shortest recent round-trip time to a data centre, or zero if none is known.
     pub fn rtt(&self, data_centre: &str) -> Duration {
-        self.rtts.get(data_centre).copied().unwrap_or_default()
+        self.measured_rtt(data_centre).unwrap_or_default()
+    }
+
+    pub(crate) fn measured_rtt(&self, data_centre: &str) -> Option<Duration> {
+        self.rtts.get(data_centre).copied()
+    }
+
+    /// Returns the names of the data centres whose round-trip time is known.
+    pub(crate) fn measured(&self) -> impl Iterator<Item = &str> {
+        self.rtts.keys().map(|name| &**name)
+    }
+
+    /// Returns the member that is recorded at an address.
+    pub fn at_address(&self, address: &str) -> Option<&Member> {
+        self.find(*self.addresses.get(address)?)
     }
 
     /// Returns why a member is lost, or `None` if it is not lost.
@@ -143,10 +160,11 @@
     /// Applies an update about a member. Returns `true` if it has changed the list; the update
     /// is then gossiped.
     pub fn apply_update(&mut self, now: Instant, member: Member) -> bool {
-        let node = member.node;
+        let (node, data_centre, state) = (member.node, member.data_centre.clone(), member.state);
         let is_new = self.apply_if_newer(now, member);
         if is_new {
             self.updates.add(node, self.peers.len());
+            self.note_update(&data_centre, state);
         }
         is_new
     }
@@ -248,6 +266,7 @@
 
     /// Records a measured round-trip time to a data centre.
     pub(crate) fn record_rtt(&mut self, data_centre: &str, sample: Duration) {
+        let was_far = self.is_far(data_centre);
         match self.rtts.get_mut(data_centre) {
             // Lower samples count at once, higher ones slowly, so that the value follows a change
             // of the network.
@@ -259,6 +278,10 @@
                 self.rtts.insert(data_centre.into(), sample);
             }
         }
+        // Routing depends on which data centres are far.
+        if self.is_far(data_centre) != was_far {
+            self.version += 1;
+        }
     }
 
     /// Removes lost and left members whose retention period is over.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,7 +32,7 @@
 pub use handshake::{HandshakeError, VERSION};
 pub use message::{
     Answer, Changes, Evacuation, Gossip, Header, Outcome, QuotaGrant, QuotaRequest, QuotaWant,
-    Reason, Request, RpcReply, RpcRequest,
+    Reason, Request, RpcReply, RpcRequest, list_size,
 };
 pub use serve::{RpcHandler, serve};
 pub use uplink::{PART_BYTES, PacedMessage, SendDecision, Uplink};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -115,6 +115,50 @@
     }
 }
 
+/// Approximate number of bytes of a message on the wire without its texts and bodies.
+const BASE_BYTES: usize = 160;
+/// Approximate number of bytes of a header, a change or a member without its texts.
+const ITEM_BYTES: usize = 24;
+
+impl Request {
+    /// Returns the approximate number of bytes of the request on the wire.
+    pub fn wire_size(&self) -> usize {
+        let texts = [&self.id, &self.service, &self.method, &self.path, &self.caller, &self.kind];
+        let texts: usize = texts.into_iter().map(|text| text.len()).sum();
+        BASE_BYTES + texts + headers_size(&self.headers) + self.body.len()
+    }
+}
+
+impl Answer {
+    /// Returns the approximate number of bytes of the answer on the wire.
+    pub fn wire_size(&self) -> usize {
+        BASE_BYTES + headers_size(&self.headers) + self.body.len()
+    }
+}
+
+impl Changes {
+    /// Returns the approximate number of bytes of the changes on the wire, with the request
+    /// for them.
+    pub fn wire_size(&self) -> usize {
+        let changes = self.changes.iter();
+        let changes = changes.map(|change| ITEM_BYTES + change.service.len() + change.body.len());
+        BASE_BYTES + changes.sum::<usize>()
+    }
+}
+
+/// Returns the approximate number of bytes of a list comparison with these digests and
+/// returned members.
+pub fn list_size(digests: &[u64], members: &[Member]) -> usize {
+    let texts =
+        |member: &Member| member.address.len() + member.data_centre.len() + member.service.len();
+    let members = members.iter().map(|member| 2 * ITEM_BYTES + texts(member));
+    BASE_BYTES + size_of_val(digests) + members.sum::<usize>()
+}
+
+fn headers_size(headers: &[Header]) -> usize {
+    headers.iter().map(|header| ITEM_BYTES + header.name.len() + header.value.len()).sum()
+}
+
 /// All changes between two revisions.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Changes {
