Admit: a cold target gets no more requests than it handles

A target that has just started, or becomes cold again, handles only `cold_per_s` requests a second and crashes well above that; the guard knew nothing of it.

The configuration's `cold_start` and `cold_per_s`, the header `Bronzeport-Cold-Ms` and the notices' `cold_remaining` now feed `admit::cold`. It paces starts while the target is cold, also while nothing is known of it, and counts the starts since the target last said that it is not: these may turn out to have reached a cold target. A health page is the first to state a new cold time, so that it is requested every 40 ms although answers report the load, but only where a limit is configured. A request that a cold target cannot start in time is refused as busy, so that it goes to a warm one. The timer of a paced start moves forward when a start is due earlier than it was.

Tests: cargo test -p admit -p platform -p daemon -p config passes; clippy without warnings.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Ticket;
+use crate::cold::{self, Coldness};
 use crate::knee::{Knee, is_above_knee};
 use crate::limit::ConcurrencyLimit;
 use crate::pace::PaceHistory;
@@ -119,6 +120,8 @@
     pace: PaceHistory,
     /// Spaces the starts if the target limits its rate.
     pacer: Option<Pacer>,
+    /// Limits the starts while the target is cold.
+    coldness: Coldness,
     is_leaving: bool,
 }
 
@@ -141,6 +144,7 @@
             displaced: Vec::new(),
             pace: PaceHistory::default(),
             pacer: None,
+            coldness: Coldness::default(),
             is_leaving: false,
         }
     }
@@ -154,6 +158,7 @@
         if let Some(pacer) = &mut self.pacer {
             pacer.record_arrival(now);
         }
+        self.coldness.record_arrival(now);
         let conditions = self.conditions(now);
         let is_first = !self.queue.has_startable(&conditions);
         if self.has_free_slot()
@@ -221,7 +226,7 @@
         }
         // A new or lower limit also delays requests that already wait.
         if self.discipline == Discipline::Deadline
-            && self.pacer.is_some()
+            && (self.pacer.is_some() || self.coldness.is_cold(now))
             && let Some(ticket) = self.find_displaced(now)
         {
             self.queue.remove(ticket);
@@ -252,6 +257,7 @@
         if let Some(pacer) = &mut self.pacer {
             pacer.record_start(now);
         }
+        self.coldness.record_start(now);
     }
 
     /// Sets the rate that the target accepts; `None` if it accepts any. A reset for a
@@ -267,12 +273,47 @@
     /// Time that an entry leaves between two requests so that all entries together keep the
     /// rate that the target accepts; zero if there is no need.
     pub fn start_period(&self, now: Instant) -> Duration {
-        self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.period(now))
+        let period = self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.period(now));
+        period.max(self.coldness.period(now))
     }
 
-    /// Time until the rate that the target accepts allows another start.
+    /// Sets the number of requests that the target gets while it is cold; `None` if it gets as
+    /// many as at any other time. A reset for a different process does not end the limit.
+    pub fn set_cold_limit(&mut self, now: Instant, limit: Option<cold::Limit>) {
+        self.coldness.set_limit(now, limit);
+    }
+
+    /// Records what the current target process states about being cold.
+    pub fn observe_coldness(
+        &mut self,
+        now: Instant,
+        source: cold::Source,
+        stated: cold::Statement,
+    ) {
+        self.coldness.observe(now, source, stated);
+    }
+
+    /// Forgets what the target has stated about being cold, because it may be another process
+    /// or have been started again.
+    pub fn forget_coldness(&mut self, now: Instant) {
+        self.coldness.forget(now);
+    }
+
+    /// Whether the target gets fewer requests while it is cold.
+    pub fn has_cold_limit(&self) -> bool {
+        self.coldness.has_limit()
+    }
+
+    /// Whether the target is cold and gets fewer requests for that reason. A target of which
+    /// nothing is known counts as cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.coldness.is_cold(now)
+    }
+
+    /// Time until the rates that the target accepts allow another start.
     fn start_delay(&self, now: Instant) -> Duration {
-        self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.delay(now, 1))
+        let delay = self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.delay(now, 1));
+        delay.max(self.coldness.start_delay(now))
     }
 
     /// Records the current pace of the target: the ratio of its service times to the
@@ -418,6 +459,6 @@
         let for_slot = self.limit.service_time().mul_f64(turns);
         let for_rate =
             self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.delay(now, ahead + 1));
-        for_slot.max(for_rate)
+        for_slot.max(for_rate).max(self.coldness.pace_delay(now, ahead + 1))
     }
 }
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 mod admission;
+pub mod cold;
 mod hold;
 mod knee;
 mod limit;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -38,5 +38,7 @@
 pub use finding::{Finding, Findings};
 pub use organisation::{Organisation, Quota};
 pub use parse::Source;
-pub use route_table::{PathRule, RequestLimits, RouteTable, TargetSettings, WeightedService};
+pub use route_table::{
+    ColdLimit, PathRule, RequestLimits, RouteTable, TargetSettings, WeightedService,
+};
 pub use service::{Match, Pattern, Repeat, Rule, Service, Share};
--- a/crates/config/src/route_table.rs
+++ b/crates/config/src/route_table.rs
@@ -53,7 +53,7 @@
 }
 
 /// Settings that apply to all targets of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct TargetSettings {
     /// Name of the service.
     pub service: Box<str>,
@@ -61,6 +61,17 @@
     pub health_path: Box<str>,
     /// Maximum number of connections that one target accepts, if the operator sets it.
     pub connections: Option<u16>,
+    /// How many requests a cold target gets; `None` if as many as any other.
+    pub cold: Option<ColdLimit>,
+}
+
+/// Limit on the requests that a target gets while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdLimit {
+    /// Requests per second.
+    pub per_second: f64,
+    /// Time for which a target is cold after its start, if the operator sets it.
+    pub cold_start: Option<Duration>,
 }
 
 /// Limits on the size and the duration of callers' requests.
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request as HttpRequest, Response};
 use store::StoreProtocol;
 
-pub use admit::{Announcement, Notice, rate};
+pub use admit::{Announcement, Notice, cold, rate};
 pub use wire::{Answer, Header, Outcome, Reason, Request};
 
 use crate::callers;
@@ -143,6 +143,8 @@
     pub report: Option<LoadReport>,
     /// The request rate that the target accepts.
     pub rate: rate::Statement,
+    /// Whether the target states that it is cold.
+    pub cold: cold::Statement,
     /// Whether the target states that it is leaving.
     pub is_leaving: bool,
     /// Instance id of the process that answered, if it gives one.
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -11,7 +11,7 @@
 
 use crate::adapter::{
     Destination, ExecutionStatus, FinalAnswer, Refused, RequestHead, TargetAnswer, TargetIdentity,
-    append_headers, end_to_end_headers, rate,
+    append_headers, cold, end_to_end_headers, rate,
 };
 use crate::call::refused;
 use crate::{headers, journal};
@@ -169,6 +169,7 @@
         retry_after: seconds.map(Duration::from_secs),
         report: None,
         rate: rate::Statement::Unlimited,
+        cold: cold::Statement::Absent,
         is_leaving: false,
         instance: None,
         headers: target_headers,
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -4,6 +4,7 @@
 //! requests that are held back after crashes. Each running request is a separate task;
 //! dropping the task closes its connection to the target.
 
+mod coldness;
 mod duplicates;
 mod job;
 mod rate_limit;
@@ -16,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 use admit::{
-    AdmissionController, Discipline, Hold, HoldTracker, NoticeEffect, Registration, Ticket,
+    AdmissionController, Discipline, Hold, HoldTracker, NoticeEffect, Registration, Ticket, cold,
 };
 use config::TargetSettings;
 use kernel::{Kernel, Mailbox, Reply};
@@ -187,6 +188,8 @@
         service: service.clone(),
         registration: adapter.read_notice.map(|_| registration),
         target_settings: Vec::new(),
+        has_settings: false,
+        was_cold: false,
         default_connections,
         pace_report: None,
         recent_requesters: RecentRequesters::default(),
@@ -202,6 +205,10 @@
         rate_observer: RateObserver::default(),
     };
     task.limit_connections();
+    if adapter.read_route_table.is_some() {
+        let limit = Some(cold::Limit::before_configuration());
+        task.controller.set_cold_limit(kernel.clock().now(), limit);
+    }
     kernel.start(task.run(inbox));
     Handle {
         kernel: kernel.clone(),
--- a/crates/daemon/src/guard/rate_limit.rs
+++ b/crates/daemon/src/guard/rate_limit.rs
@@ -24,7 +24,14 @@
     /// When an excess was last logged.
     excess_logged_at: Option<Instant>,
     /// Sends [`Message::StartDue`] when the target accepts another request.
-    pub(super) start_timer: Option<kernel::Task<()>>,
+    pub(super) start_timer: Option<StartTimer>,
+}
+
+/// The time at which [`Message::StartDue`] is sent, and the task that sends it.
+#[derive(Debug)]
+pub(super) struct StartTimer {
+    due: Instant,
+    _task: kernel::Task<()>,
 }
 
 impl RateObserver {
@@ -74,16 +81,19 @@
         }
     }
 
-    /// Sends [`Message::StartDue`] after `delay`, unless that is already scheduled.
+    /// Sends [`Message::StartDue`] after `delay`, unless that is already scheduled for then or
+    /// earlier.
     pub(super) fn wake_after(&mut self, delay: Duration) {
-        if self.rate_observer.start_timer.is_some() {
+        let due = self.now() + delay;
+        if self.rate_observer.start_timer.as_ref().is_some_and(|timer| timer.due <= due) {
             return;
         }
         let (clock, mailbox) = (*self.kernel.clock(), self.mailbox.clone());
-        self.rate_observer.start_timer = Some(self.kernel.spawn(async move {
+        let task = self.kernel.spawn(async move {
             clock.sleep(delay).await;
             mailbox.send(Message::StartDue);
-        }));
+        });
+        self.rate_observer.start_timer = Some(StartTimer { due, _task: task });
     }
 
     /// Records a request of `entry` that is sent to the target, and logs if the target gets
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use admit::{Announcement, Notice, NoticeEffect, Registration, Ticket, WARM_UP_STEP, rate};
+use admit::{Announcement, Notice, NoticeEffect, Registration, Ticket, WARM_UP_STEP, cold, rate};
 use config::TargetSettings;
 use kernel::Mailbox;
 use route::{Load, default_nominal_time, pace_factor};
@@ -50,13 +50,16 @@
     }
 
     /// Publishes the load at once if the pace has changed much, if the target has started or
-    /// stopped accepting requests, or if it no longer limits their rate.
+    /// stopped accepting requests, if it has become cold or ready, or if it no longer limits
+    /// their rate.
     pub(super) fn publish_load(&mut self) {
+        let cold_change = self.take_cold_change();
         let load = self.load();
         let change = pace_factor(load.pace) / pace_factor(self.published_load.pace);
         let has_changed = !(1.0 / PACE_PUBLISH_FACTOR..PACE_PUBLISH_FACTOR).contains(&change)
             || load.leaving != self.published_load.leaving
-            || std::mem::take(&mut self.rate_observer.has_limit_ended);
+            || std::mem::take(&mut self.rate_observer.has_limit_ended)
+            || cold_change.is_some();
         if !has_changed || self.target.is_none() {
             return;
         }
@@ -65,7 +68,7 @@
         // A slowdown or a departure is sent directly to the daemons that have recently sent
         // requests. A speed-up is only gossiped: if those daemons were the first to receive
         // it, they would all send their requests here at once.
-        let requesters = match change > 1.0 || load.leaving {
+        let requesters = match change > 1.0 || load.leaving || cold_change == Some(true) {
             true => self.recent_requesters.latest().collect(),
             false => Vec::new(),
         };
@@ -147,7 +150,7 @@
     }
 
     /// Returns the configured settings of the target's service.
-    fn find_target_settings(&self) -> Option<&TargetSettings> {
+    pub(super) fn find_target_settings(&self) -> Option<&TargetSettings> {
         let service = self.service.borrow();
         self.target_settings.iter().find(|settings| settings.service == *service)
     }
@@ -175,14 +178,17 @@
         let limit = self.rate_observer.limit().map_or(f64::INFINITY, rate::Limit::per_second);
         metrics::gauge!("bronzeport_target_rate_limit").set(limit);
         let health_path = self.find_target_settings().map(|settings| settings.health_path.clone());
+        let cold_interval = self.cold_check_interval();
         let interval = match (self.is_reachable, &health_path) {
             (true, None) => CONNECT_CHECK_INTERVAL,
-            (true, Some(_)) => self.rate_observer.check_interval(),
+            (true, Some(_)) => {
+                self.rate_observer.check_interval().max(cold_interval.unwrap_or_default())
+            }
             (false, _) => DOWN_CHECK_INTERVAL,
         };
         let has_waited = self.last_health_check.is_none_or(|at| now - at >= interval);
         let is_fresh = self.pace_report.is_some_and(|report| now - report.at < MAX_REPORT_AGE);
-        if !has_waited || (is_fresh && self.is_reachable) {
+        if !has_waited || (is_fresh && self.is_reachable && cold_interval.is_none()) {
             return None;
         }
         self.last_health_check = Some(now);
@@ -231,7 +237,7 @@
                 is_leaving: answer.is_leaving,
                 started: 0,
                 sequence: 0,
-                cold_remaining: Duration::ZERO,
+                cold_remaining: answer.cold.remaining(),
             };
             if registration.apply_health_page(announcement) == NoticeEffect::Started {
                 self.serve_new_process();
@@ -241,6 +247,7 @@
         let is_own = |instance: &str| self.is_current_process(instance);
         if answer.instance.as_deref().is_none_or(is_own) {
             self.apply_statements(rate::Source::HealthPage, &answer);
+            self.observe_cold_page(now, &answer);
         }
         self.observe_report(now, &answer);
         self.confirm_process();
@@ -261,9 +268,24 @@
             return NoticeEffect::Stale;
         };
         let description = describe_notice(&notice);
+        let cold_remaining = match &notice {
+            Notice::Announced(announcement) => announcement.cold_remaining,
+            Notice::Deregistered { .. } => Duration::ZERO,
+        };
         let effect = registration.apply(notice);
+        if effect == NoticeEffect::Started {
+            self.serve_new_process();
+        }
+        if matches!(effect, NoticeEffect::Started | NoticeEffect::Confirmed) {
+            let stated = cold::Statement::ColdFor(cold_remaining);
+            self.controller.observe_coldness(
+                self.kernel.clock().now(),
+                cold::Source::Notice,
+                stated,
+            );
+        }
         match effect {
-            NoticeEffect::Started => self.serve_new_process(),
+            NoticeEffect::Started => {}
             NoticeEffect::Leaving => self.stop_admitting(),
             NoticeEffect::Confirmed => self.confirm_process(),
             NoticeEffect::Stale => metrics::counter!("bronzeport_stale_notices_total").increment(1),
@@ -311,6 +333,8 @@
         self.controller.reset(current.slots, !current.cold_remaining.is_zero());
         *self.service.borrow_mut() = current.service.clone();
         self.limit_connections();
+        self.limit_cold_starts();
+        self.controller.forget_coldness(self.now());
         let membership: Mailbox<membership::Message> = self.kernel.service(names::MEMBERSHIP);
         let (service, slots) = (current.service, current.slots);
         membership.send(membership::Message::AnnounceService { service, slots });
@@ -379,6 +403,10 @@
             return;
         }
         self.is_reachable = is_reachable;
+        if !is_reachable {
+            // The next process may answer for the same instance id.
+            self.controller.forget_coldness(self.now());
+        }
         match is_reachable {
             true => {
                 log::info!(target: "daemon::guard::belief", "the target takes connections");
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -57,6 +57,10 @@
     pub(super) registration: Option<Registration>,
     /// The configured settings of the targets of each service.
     pub(super) target_settings: Vec<TargetSettings>,
+    /// Whether the configured settings are known.
+    pub(super) has_settings: bool,
+    /// Whether the target was cold when that was last logged.
+    pub(super) was_cold: bool,
     /// Maximum number of connections to the target by the settings of the daemon, used if
     /// the configuration gives none.
     pub(super) default_connections: u16,
@@ -112,7 +116,9 @@
             }
             Message::TargetSettings(target_settings) => {
                 self.target_settings = target_settings;
+                self.has_settings = true;
                 self.limit_connections();
+                self.limit_cold_starts();
                 // The settings may name a health page that was unknown so far.
                 self.last_health_check = None;
             }
@@ -253,7 +259,7 @@
             Decision::Refuse(refusal) => {
                 let (reason, after) = match refusal {
                     Refusal::Busy { retry_after } => (Reason::Busy, retry_after),
-                    Refusal::Late { retry_after } => (Reason::Late, retry_after),
+                    Refusal::Late { retry_after } => (self.late_reason(now), retry_after),
                     Refusal::Leaving => (Reason::Leaving, Duration::ZERO),
                 };
                 self.refuse(job, reason, after);
@@ -265,15 +271,25 @@
     fn start_queued(&mut self) {
         loop {
             let now = self.now();
+            let late = self.late_reason(now);
             match self.controller.next_action(now) {
                 QueueAction::Idle => return,
                 QueueAction::Sleep(delay) => return self.wake_after(delay),
                 QueueAction::Start(ticket) => self.start_run(ticket),
-                QueueAction::Expire(ticket) => self.refuse_withdrawn(ticket, Reason::Late),
+                QueueAction::Expire(ticket) => self.refuse_withdrawn(ticket, late),
             }
         }
     }
 
+    /// Why a request is refused that cannot be answered in time: a cold target refuses it as
+    /// one without a free slot does, so that a warm target gets it.
+    fn late_reason(&self, now: Instant) -> Reason {
+        match self.controller.is_cold(now) {
+            true => Reason::Busy,
+            false => Reason::Late,
+        }
+    }
+
     /// Sends a request that the admission controller has started to the target.
     fn start_run(&mut self, ticket: Ticket) {
         let (now, pace) = (self.now(), self.pace());
@@ -361,6 +377,7 @@
             && self.is_current_process(&job.instance)
         {
             self.apply_statements(rate::Source::Answer, &answer);
+            self.observe_cold_answer(now, &answer);
         }
         self.observe_report(now, &answer);
         match answer.execution {
