Lab: callers' keys and organisations with real processes

Cause: the parts on the way of a key have tests of their own, but not the whole way.

Change: the stand-in target prints the organisation that a request names and whether it has credentials.

--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -7,6 +7,8 @@
 //! | line | meaning |
 //! |---|---|
 //! | `run MS ID CALLER DEADLINE` | a request has begun to run |
+//! | `organisation ID NAME` | that request names this organisation |
+//! | `authorization ID` | that request has the credentials of its caller |
 //! | `ran MS ID` | a request has run to its end |
 //! | `limit MS RATE` | the target accepts this rate from now on; `null`: any rate |
 //! | `check MS` | the health page was requested while the target limits the rate |
@@ -188,6 +190,13 @@
         let (caller, deadline) =
             (header("bronzeport-caller-service"), header("bronzeport-deadline-ms"));
         print_line(&format!("run {} {id} {caller} {deadline}", unix_millis()));
+        let organisation = header("bronzeport-tenant-id");
+        if !organisation.is_empty() {
+            print_line(&format!("organisation {id} {organisation}"));
+        }
+        if head.headers.contains_key("authorization") {
+            print_line(&format!("authorization {id}"));
+        }
         let _running = RunningGuard::new(&self.running);
         let jitter = self.random.borrow_mut().f64() + 0.5;
         let service_time = match path.starts_with("/slow/") {
