Admission by organisation under too little room

Organisations compete for insufficient capacity, and one that sends many times its usual load must not starve the others.

Change: admit::Request names the organisation, as a hash of its name, and its priority. The queue is ordered by that priority before the tier, rank and deadline. Among organisations of one priority, those that use a target more than the others yield, by the number of doublings; calls without an organisation go before them. A request that goes before the least urgent one of a full queue displaces it, and any request of an organisation that others delay past its deadline is refused at once, not only the last. Retry-After takes into account the share of the target that higher priorities use. Without organisations nothing changes.

Result: cargo test -p admit -p daemon: all pass; existing tests only have the new field.

--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -1,11 +1,12 @@
 //! The admission controller in front of one target.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::Ticket;
 use crate::knee::{Knee, is_above_knee};
 use crate::limit::ConcurrencyLimit;
+use crate::organisation::{Organisation, StartRates};
 use crate::pace::PaceHistory;
 use crate::queue::{Class, Conditions, Queue, Waiting};
 use crate::rate::{Limit, Pacer};
@@ -16,6 +17,9 @@
 const PATIENT_MARGIN_FACTOR: u32 = 8;
 /// Shortest retry-after time that a refusal gives.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Least share of the target that requests of a low priority are expected to find free, which
+/// bounds their retry-after time.
+const MIN_SHARE_LEFT: f64 = 0.1;
 
 /// Queue discipline: the order of waiting requests, and when they are dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,7 +43,10 @@
     /// Time after which the answer has lost some of its value: the arrival time plus
     /// the target latency. Never later than `deadline`.
     pub soft_deadline: Instant,
-    /// Priority; 0 is the highest.
+    /// The organisation on whose behalf the request is sent. A request without one has the
+    /// highest priority.
+    pub organisation: Option<Organisation>,
+    /// Priority among the requests of organisations of the same priority; 0 is the highest.
     pub rank: u8,
     /// Expected service time at the nominal pace, if known.
     pub nominal_time: Option<Duration>,
@@ -110,7 +117,8 @@
     /// Upper bound on running requests, whatever the target advertises.
     max_in_flight: u16,
     discipline: Discipline,
-    running: BTreeSet<Ticket>,
+    running: BTreeMap<Ticket, Option<Organisation>>,
+    start_rates: StartRates,
     queue: Queue,
     /// Waiting requests that later arrivals have delayed past their deadline. They
     /// are refused next.
@@ -136,7 +144,8 @@
             advertised_slots: slots.max(1),
             max_in_flight: u16::MAX,
             discipline,
-            running: BTreeSet::new(),
+            running: BTreeMap::new(),
+            start_rates: StartRates::default(),
             queue: Queue::default(),
             displaced: Vec::new(),
             pace: PaceHistory::default(),
@@ -161,13 +170,14 @@
             && is_first
             && conditions.can_start(request.nominal_time, request.deadline)
         {
-            self.start(now, request.ticket);
+            self.start(now, request.ticket, request.organisation);
             return Decision::Start;
         }
         if self.discipline == Discipline::Fifo {
             let waiting = Waiting {
                 ticket: request.ticket,
                 class: Class::Urgent,
+                organisation: None,
                 rank: 0,
                 soft_deadline: now,
                 deadline: now,
@@ -181,9 +191,10 @@
 
     /// Records that a running request has ended, and how.
     pub fn finish(&mut self, now: Instant, ticket: Ticket, completion: Completion) {
-        if !self.running.remove(&ticket) {
+        let Some(organisation) = self.running.remove(&ticket) else {
             return;
-        }
+        };
+        self.queue.loads.remove(organisation);
         match completion {
             Completion::Answered(service_time) => self.limit.observe_answer(now, service_time),
             Completion::Shed => self.limit.observe_shed(now, self.running.len()),
@@ -243,12 +254,14 @@
         let Some(next) = self.queue.pop(&conditions) else {
             return QueueAction::Idle;
         };
-        self.start(now, next.ticket);
+        self.start(now, next.ticket, next.organisation);
         QueueAction::Start(next.ticket)
     }
 
-    fn start(&mut self, now: Instant, ticket: Ticket) {
-        self.running.insert(ticket);
+    fn start(&mut self, now: Instant, ticket: Ticket, organisation: Option<Organisation>) {
+        self.running.insert(ticket, organisation);
+        self.queue.loads.add(organisation);
+        self.start_rates.record(now, organisation);
         if let Some(pacer) = &mut self.pacer {
             pacer.record_start(now);
         }
@@ -294,6 +307,7 @@
             best_pace: self.pace.best(now),
             slow_period: self.pace.slow_period(),
             is_overloaded,
+            slots: self.slots(),
         }
     }
 
@@ -326,6 +340,18 @@
         self.wait_behind(now, self.queue.len()).max(MIN_RETRY_AFTER)
     }
 
+    /// Estimated time until there is room for a request of an organisation with this priority:
+    /// until the requests that wait now have started, while those with a higher priority that
+    /// still arrive go before it.
+    pub fn retry_after_for(&self, now: Instant, priority: u8) -> Duration {
+        let per_second = self.start_rates.above(now, priority);
+        if per_second <= 0.0 {
+            return self.retry_after(now);
+        }
+        let used = per_second * self.limit.service_time().as_secs_f64() / f64::from(self.slots());
+        self.retry_after(now).div_f64((1.0 - used).max(MIN_SHARE_LEFT))
+    }
+
     /// Limits the number of requests that run at a time, for this and later target
     /// processes. At least one request may always run.
     pub fn set_max_in_flight(&mut self, max_in_flight: u16) {
@@ -380,6 +406,7 @@
         let waiting = Waiting {
             ticket: request.ticket,
             class: request.class,
+            organisation: request.organisation,
             rank: request.rank,
             soft_deadline: request.soft_deadline,
             deadline: request.deadline,
@@ -388,28 +415,44 @@
         let conditions = self.conditions(now);
         let ahead = self.queue.ahead_of(&waiting, &conditions);
         let start = now + self.wait_behind(now, ahead);
-        let retry_after = self.retry_after(now);
+        let priority = request.organisation.map_or(0, |organisation| organisation.priority);
+        let retry_after = self.retry_after_for(now, priority);
         let is_full = self.queue.len() >= MAX_QUEUED_PER_SLOT * usize::from(self.advertised_slots);
-        if !request.may_queue || is_full {
+        let last = self.queue.last_urgent(&conditions).filter(|_| is_full);
+        let displaced = last.filter(|last| self.queue.is_preferred(&waiting, last, &conditions));
+        if !request.may_queue || (is_full && displaced.is_none()) {
             return Decision::Refuse(Refusal::Busy { retry_after });
         }
         if start + conditions.best_case_time(waiting.nominal_time) > request.deadline {
             return Decision::Refuse(Refusal::Late { retry_after });
         }
         self.queue.push(waiting);
-        self.displaced.extend(self.find_displaced(now));
+        match displaced {
+            Some(displaced) => self.displaced.push(displaced.ticket),
+            None => self.displaced.extend(self.find_displaced(now)),
+        }
         Decision::Wait
     }
 
     /// Returns the last urgent request in the queue if the requests ahead of it delay
     /// it past its deadline. It need not be the request that has just arrived: under
     /// overload, late requests run latest deadline first.
+    ///
+    /// Requests of organisations may be delayed past their deadlines by those of a higher
+    /// priority although the last one has time left, so any of them may be returned.
     fn find_displaced(&self, now: Instant) -> Option<Ticket> {
         let conditions = self.conditions(now);
         let last = self.queue.last_urgent(&conditions)?;
-        let start = now + self.wait_behind(now, self.queue.ahead_of(&last, &conditions));
-        let is_infeasible = start + conditions.best_case_time(last.nominal_time) > last.deadline;
-        is_infeasible.then_some(last.ticket)
+        let is_infeasible = |ahead: usize, waiting: &Waiting| {
+            let start = now + self.wait_behind(now, ahead);
+            start + conditions.best_case_time(waiting.nominal_time) > waiting.deadline
+        };
+        if is_infeasible(self.queue.ahead_of(&last, &conditions), &last) {
+            return Some(last.ticket);
+        }
+        let mut waiting = self.queue.organisations_from_last(&conditions);
+        let displaced = waiting.find(|(ahead, waiting)| is_infeasible(*ahead, waiting));
+        displaced.map(|(_, waiting)| waiting.ticket)
     }
 
     /// Estimated time until a request with `ahead` others in front of it starts.
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -16,6 +16,7 @@
 //!     class: Class::Urgent,
 //!     deadline: now + Duration::from_millis(250),
 //!     soft_deadline: now + Duration::from_millis(250),
+//!     organisation: None,
 //!     rank: 0,
 //!     nominal_time: None,
 //!     may_queue: true,
@@ -27,6 +28,7 @@
 mod hold;
 mod knee;
 mod limit;
+mod organisation;
 mod pace;
 mod queue;
 pub mod rate;
@@ -37,6 +39,7 @@
 };
 pub use hold::{CrashId, Fingerprint, Hold, HoldTracker};
 pub use limit::WARM_UP_STEP;
+pub use organisation::{Organisation, OrganisationId};
 pub use queue::Class;
 pub use registration::{Announcement, Notice, NoticeEffect, Registration};
 
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Ticket;
+use crate::organisation::{Loads, Organisation, ShareLevel};
 
 /// Whether a request may wait behind others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +20,8 @@
 pub(crate) struct Waiting {
     pub(crate) ticket: Ticket,
     pub(crate) class: Class,
+    /// The organisation on whose behalf the request is sent.
+    pub(crate) organisation: Option<Organisation>,
     /// Priority; 0 is the highest.
     pub(crate) rank: u8,
     /// Time after which the answer has lost some of its value.
@@ -45,7 +48,10 @@
     Patient,
 }
 
-type SortKey = (Tier, u8, Order, Ticket);
+/// Order of requests: by the priority of their organisations, then by whether they are in time,
+/// the share of the guard that their organisations use, and their rank. Patient requests that
+/// are not due come last.
+type SortKey = (bool, u8, Tier, ShareLevel, u8, Order, Ticket);
 
 /// Order among the requests of the same tier and rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -72,6 +78,8 @@
     pub(crate) slow_period: Duration,
     /// Whether the queue is too long for all requests to meet their deadlines.
     pub(crate) is_overloaded: bool,
+    /// Number of requests that may run at a time.
+    pub(crate) slots: u16,
 }
 
 /// Safety factor on the expected service time when checking against a deadline.
@@ -118,16 +126,25 @@
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     requests: Vec<Waiting>,
+    /// Requests that wait or run, by organisation.
+    pub(crate) loads: Loads,
 }
 
 impl Queue {
     pub(crate) fn push(&mut self, request: Waiting) {
+        self.loads.add(request.organisation);
         self.requests.push(request);
     }
 
     pub(crate) fn remove(&mut self, ticket: Ticket) -> bool {
         let index = self.requests.iter().position(|request| request.ticket == ticket);
-        index.map(|index| self.requests.swap_remove(index)).is_some()
+        index.map(|index| self.take(index)).is_some()
+    }
+
+    fn take(&mut self, index: usize) -> Waiting {
+        let request = self.requests.swap_remove(index);
+        self.loads.remove(request.organisation);
+        request
     }
 
     /// Removes and returns the request to run next. Requests that can still meet their
@@ -138,8 +155,8 @@
     pub(crate) fn pop(&mut self, conditions: &Conditions) -> Option<Waiting> {
         let requests = self.requests.iter().enumerate();
         let startable = requests.filter(|(_, request)| request.can_start(conditions));
-        let first = startable.min_by_key(|(_, request)| sort_key(request, conditions))?.0;
-        Some(self.requests.swap_remove(first))
+        let first = startable.min_by_key(|(_, request)| self.sort_key(request, conditions))?.0;
+        Some(self.take(first))
     }
 
     /// Whether any request in the queue may start now. The remaining ones wait for a
@@ -154,20 +171,54 @@
         let is_infeasible =
             |w: &Waiting| w.deadline < conditions.now + conditions.best_case_time(w.nominal_time);
         let index = self.requests.iter().position(is_infeasible)?;
-        Some(self.requests.swap_remove(index))
+        Some(self.take(index))
     }
 
     /// Returns the urgent request that runs last. Patient requests are left out: they
     /// run once they are due, whatever is ahead of them now.
     pub(crate) fn last_urgent(&self, conditions: &Conditions) -> Option<Waiting> {
         let urgent = self.requests.iter().filter(|request| request.class == Class::Urgent);
-        urgent.max_by_key(|request| sort_key(request, conditions)).copied()
+        urgent.max_by_key(|request| self.sort_key(request, conditions)).copied()
+    }
+
+    /// Returns the requests of organisations, the last to run first, each with the number of
+    /// requests that run before it. Empty if no request has an organisation.
+    pub(crate) fn organisations_from_last(
+        &self,
+        conditions: &Conditions,
+    ) -> impl Iterator<Item = (usize, &Waiting)> {
+        let mut order: Vec<(SortKey, &Waiting)> = match self.loads.is_empty() {
+            true => Vec::new(),
+            false => self
+                .requests
+                .iter()
+                .map(|request| (self.sort_key(request, conditions), request))
+                .collect(),
+        };
+        order.sort_unstable_by_key(|(key, _)| *key);
+        let order = order.into_iter().map(|(_, request)| request).enumerate().rev();
+        order.filter(|(_, request)| request.organisation.is_some())
+    }
+
+    /// Whether `new` goes before `other` because of their organisations, whatever their ranks
+    /// and deadlines.
+    pub(crate) fn is_preferred(
+        &self,
+        new: &Waiting,
+        other: &Waiting,
+        conditions: &Conditions,
+    ) -> bool {
+        let preference = |request: &Waiting| {
+            let level = self.loads.level(request.organisation, conditions.slots);
+            (priority_of(request), level)
+        };
+        preference(new) < preference(other)
     }
 
     /// Number of queued requests that would run before a new one.
     pub(crate) fn ahead_of(&self, new: &Waiting, conditions: &Conditions) -> usize {
-        let new_key = sort_key(new, conditions);
-        self.requests.iter().filter(|request| sort_key(request, conditions) < new_key).count()
+        let new_key = self.sort_key(new, conditions);
+        self.requests.iter().filter(|request| self.sort_key(request, conditions) < new_key).count()
     }
 
     /// The earliest deadline of the queued requests.
@@ -183,9 +234,19 @@
     pub(crate) fn len(&self) -> usize {
         self.requests.len()
     }
+
+    fn sort_key(&self, request: &Waiting, conditions: &Conditions) -> SortKey {
+        let level = self.loads.level(request.organisation, conditions.slots);
+        sort_key(request, level, conditions)
+    }
+}
+
+/// A request without an organisation has the highest priority.
+fn priority_of(request: &Waiting) -> u8 {
+    request.organisation.map_or(0, |organisation| organisation.priority)
 }
 
-fn sort_key(request: &Waiting, conditions: &Conditions) -> SortKey {
+fn sort_key(request: &Waiting, level: ShareLevel, conditions: &Conditions) -> SortKey {
     let is_due = request.deadline <= conditions.now + conditions.patient_margin;
     let ends = conditions.now + conditions.time_needed(request.nominal_time);
     let (tier, order) = match request.class {
@@ -206,5 +267,6 @@
         Class::Patient => 0,
         Class::Urgent => request.rank,
     };
-    (tier, rank, order, request.ticket)
+    let is_patient = tier == Tier::Patient;
+    (is_patient, priority_of(request), tier, level, rank, order, request.ticket)
 }
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -18,6 +18,7 @@
         class,
         deadline,
         soft_deadline: deadline,
+        organisation: None,
         rank: 0,
         nominal_time: None,
         may_queue: true,
--- a/crates/admit/tests/overload.rs
+++ b/crates/admit/tests/overload.rs
@@ -14,6 +14,7 @@
         class: Class::Urgent,
         deadline: now + DEADLINE,
         soft_deadline: now + TARGET_LATENCY,
+        organisation: None,
         rank,
         nominal_time: Some(NOMINAL_TIME),
         may_queue: true,
--- a/crates/admit/tests/rate.rs
+++ b/crates/admit/tests/rate.rs
@@ -28,7 +28,16 @@
     let deadline = now + Duration::from_millis(500);
     let nominal_time = Some(SERVICE_TIME);
     let class = Class::Urgent;
-    Request { ticket, class, deadline, soft_deadline: deadline, rank: 0, nominal_time, may_queue }
+    Request {
+        ticket,
+        class,
+        deadline,
+        soft_deadline: deadline,
+        organisation: None,
+        rank: 0,
+        nominal_time,
+        may_queue,
+    }
 }
 
 /// A target that takes [`SERVICE_TIME`] for each request, and its guard.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -151,6 +151,7 @@
             revision: settings.revision,
             deadline_ms: call.deadline.as_millis() as u64,
             ahead: position.earlier_unanswered(),
+            organisation: call.organisation.as_ref().map(|owner| owner.name.clone()),
         };
         self.record(&call.id, event);
         let mut waiting_caller = WaitingCaller { entry: self, id: Some(call.id.clone()), arrived };
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -141,7 +141,8 @@
     /// Refuses a request that has just been removed from the queue.
     pub(super) fn refuse_withdrawn(&mut self, ticket: Ticket, reason: Reason) {
         if let Some(job) = self.jobs.remove(&ticket) {
-            let after = self.controller.retry_after(self.now());
+            let priority = job.request.organisation_priority;
+            let after = self.controller.retry_after_for(self.now(), priority);
             self.refuse(job, reason, after);
         }
     }
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -225,6 +226,7 @@
             },
             deadline: job.deadline,
             soft_deadline: job.soft_deadline,
+            organisation: organisation_of(&job.request),
             rank: job.request.rank,
             nominal_time: self.nominal_time(&job.request),
             may_queue: job.request.may_queue || job.holds_claim(),
@@ -500,6 +502,16 @@
     }
 }
 
+/// Returns the organisation of a request, if it has one.
+fn organisation_of(request: &Request) -> Option<admit::Organisation> {
+    let Request { organisation, organisation_priority, .. } = request;
+    let mut hasher = DefaultHasher::new();
+    organisation.hash(&mut hasher);
+    let id = hasher.finish();
+    let organisation = admit::Organisation { id, priority: *organisation_priority };
+    (!request.organisation.is_empty()).then_some(organisation)
+}
+
 /// Whether the target reports that it has free slots.
 fn reports_free_slots(answer: &TargetAnswer) -> bool {
     answer.report.is_some_and(|report| {
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -50,6 +50,9 @@
         deadline_ms: u64,
         /// Number of earlier requests on the same connection that were not answered yet.
         ahead: u64,
+        /// Name of the organisation whose key the caller presented.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        organisation: Option<Box<str>>,
     },
     /// The request was refused because it has no key that is in force.
     UnknownKey {
@@ -191,8 +194,10 @@
     /// Returns a description of the event for operators.
     pub(super) fn text(&self) -> String {
         match self {
-            Self::Arrived { service, depth, .. } => {
-                format!("{ARRIVED} for {service} at depth {depth}")
+            Self::Arrived { service, depth, organisation, .. } => {
+                let organisation = organisation.iter().map(|name| format!(", from {name}"));
+                let organisation: String = organisation.collect();
+                format!("{ARRIVED} for {service} at depth {depth}{organisation}")
             }
             Self::UnknownKey { kind } => format!("refused on {kind}: no key that is in force"),
             Self::Sent { to, may_queue: true, estimate } => {
