--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -418,7 +418,7 @@
         let priority = request.organisation.map_or(0, |organisation| organisation.priority);
         let retry_after = self.retry_after_for(now, priority);
         let is_full = self.queue.len() >= MAX_QUEUED_PER_SLOT * usize::from(self.advertised_slots);
-        let last = self.queue.last_urgent(&conditions).filter(|_| is_full);
+        let last = is_full.then(|| self.queue.last_urgent(&conditions)).flatten();
         let displaced = last.filter(|last| self.queue.is_preferred(&waiting, last, &conditions));
         if !request.may_queue || (is_full && displaced.is_none()) {
             return Decision::Refuse(Refusal::Busy { retry_after });
--- a/crates/admit/tests/organisations.rs
+++ b/crates/admit/tests/organisations.rs
@@ -1,6 +1,6 @@
 //! Organisations that compete for a target with too little room, without a network.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use admit::{
@@ -244,6 +244,62 @@
     assert_eq!(refused, [3]);
 }
 
+/// Organisations, priorities and deadlines at random, with requests that end, are withdrawn or wait.
+/// Guards against requests that are started or refused twice, slots that stay idle, and organisations
+/// that are still counted after their last request.
+#[test]
+fn every_request_of_random_organisations_has_one_end() {
+    for seed in 0..40 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut now = Instant::now();
+        let mut controller = warm_controller(3);
+        let (mut waiting, mut running) = (BTreeSet::new(), BTreeSet::new());
+        for ticket in 0..600 {
+            let organisation = (random.u8(..4) > 0)
+                .then(|| Organisation { id: random.u64(..4), priority: random.u8(..3) });
+            let caller = Caller { organisation, rank: random.u8(..3), load: 0.0 };
+            let deadline = now + Duration::from_millis(random.u64(50..2000));
+            let may_queue = random.u8(..8) > 0;
+            let arrival = Request { deadline, may_queue, ..request(now, ticket, caller) };
+            match controller.arrive(now, arrival) {
+                Decision::Start => assert!(running.insert(ticket)),
+                Decision::Wait => assert!(may_queue && waiting.insert(ticket)),
+                Decision::Refuse(_) => {}
+            }
+            if random.u8(..3) > 0
+                && let Some(ended) = running.pop_first()
+            {
+                controller.finish(now, ended, Completion::Answered(NOMINAL_TIME));
+            }
+            if random.u8(..10) == 0
+                && let Some(left) = waiting.pop_last()
+            {
+                assert!(controller.withdraw(left));
+            }
+            loop {
+                match controller.next_action(now) {
+                    QueueAction::Start(ticket) => {
+                        assert!(waiting.remove(&ticket) && running.insert(ticket));
+                    }
+                    QueueAction::Expire(ticket) => assert!(waiting.remove(&ticket)),
+                    QueueAction::Idle => break,
+                    QueueAction::Sleep(_) => panic!("no rate is limited"),
+                }
+            }
+            assert_eq!(
+                (controller.queued(), controller.in_flight()),
+                (waiting.len(), running.len())
+            );
+            assert!(waiting.is_empty() || running.len() >= 3, "seed {seed}: a slot is idle");
+            now += Duration::from_millis(random.u64(..60));
+        }
+        waiting.into_iter().for_each(|ticket| assert!(controller.withdraw(ticket)));
+        running.into_iter().for_each(|ticket| controller.finish(now, ticket, Completion::Aborted));
+        let state = format!("{controller:?}");
+        assert!(state.contains("Loads { by_organisation: {}, by_priority: {} }"), "{state}");
+    }
+}
+
 /// Load pattern: a steady load of a high priority takes four fifths of the target when a queue
 /// has to be worked off. Guards against a Retry-After that only counts the queue: those who came
 /// back then would be refused again, since the higher priority has gone before them.
