Lab: a higher priority beside a lower one with real processes

Cause: nothing tested that the organisation of a key reaches the guard's queue.

Change: an organisation of a low priority fills the queues of all targets, and one of a higher priority is still served.

--- a/crates/lab/tests/organisations.rs
+++ b/crates/lab/tests/organisations.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use lab::fleet::wait_until;
@@ -17,11 +18,15 @@
 fn publish(mesh: &Mesh, version: u64, tenants: &Value) {
     let path = |name: &str, prefix: &str, public: bool| {
         json!({
-            "name": name, "prefix": prefix, "kind": "safe", "timeout": "5s",
+            "name": name, "prefix": prefix, "kind": "safe", "timeout": "8s",
             "service": "desk", "max_attempts": 2, "public": public,
         })
     };
-    let paths = [path("read", "/read/", false), path("inner", "/inner/", true)];
+    let paths = [
+        path("read", "/read/", false),
+        path("slow", "/slow/", false),
+        path("inner", "/inner/", true),
+    ];
     let config = json!({
         "version": version,
         "services": [{ "name": "desk", "health_path": "/healthz" }],
@@ -50,7 +55,7 @@
     fn call(&self, path: &str, id: &str, headers: &str) -> u16 {
         let head = format!(
             "GET {path} HTTP/1.1\r\nhost: soak.example\r\nbronzeport-request-id: {id}\r\n\
-             bronzeport-deadline-ms: 2000\r\nbronzeport-tenant-id: forged\r\n{headers}\r\n"
+             bronzeport-deadline-ms: 8000\r\nbronzeport-tenant-id: forged\r\n{headers}\r\n"
         );
         (&self.0).write_all(head.as_bytes()).expect("the request is sent");
         let mut response = Vec::new();
@@ -116,3 +121,39 @@
     }
     assert!(is_logged, "a refusal of an unknown key is logged");
 }
+
+/// Sends requests of 2 s at the same time over connections of their own. Returns the threads, which
+/// end with the statuses of the responses.
+fn send_slow(mesh: &Mesh, name: &str, key: &str, count: usize) -> Vec<JoinHandle<u16>> {
+    let send = |number: usize| {
+        let caller = Caller::connect(mesh.callers(number % 5));
+        let (id, bearer) = (format!("{name}-{number}"), format!("authorization: Bearer {key}\r\n"));
+        std::thread::spawn(move || caller.call("/slow/x", &id, &bearer))
+    };
+    (0..count).map(send).collect()
+}
+
+/// An organisation of a low priority sends more requests than can be answered in time, and then
+/// one of a high priority sends some. Guards against an organisation or a priority that is lost
+/// between the key and the guard's queue: the latter would be refused, since they come last.
+#[test]
+fn a_higher_priority_is_served_when_a_lower_one_has_filled_the_queues() {
+    lab::process::set_program(env!("CARGO_BIN_EXE_lab"));
+    let mesh = Mesh::start(5, 7, None).expect("the processes start");
+    let tenants = json!([
+        { "name": "low", "api_keys": ["k-low"], "priority": 5 },
+        { "name": "high", "api_keys": ["k-high"], "priority": 1 },
+    ]);
+    publish(&mesh, 1000, &tenants);
+    let caller = Caller::connect(mesh.callers(0));
+    wait_until(TIMEOUT, || caller.call("/read/x", "probe", "") == 401).expect("it is in force");
+    let low = send_slow(&mesh, "low", "k-low", 150);
+    std::thread::sleep(Duration::from_millis(500));
+    let high = send_slow(&mesh, "high", "k-high", 12);
+    let statuses = |threads: Vec<JoinHandle<u16>>| -> Vec<u16> {
+        threads.into_iter().map(|thread| thread.join().expect("a response arrives")).collect()
+    };
+    let (low, high) = (statuses(low), statuses(high));
+    assert!(low.contains(&503) && low.contains(&200), "{low:?}");
+    assert!(high.iter().all(|status| *status == 200), "{high:?} beside {low:?}");
+}
