--- a/crates/admit/tests/cold.rs
+++ b/crates/admit/tests/cold.rs
@@ -34,6 +34,7 @@
         soft_deadline: now + Duration::from_millis(100),
         rank: 0,
         nominal_time: Some(SERVICE_TIME),
+        organisation: None,
         may_queue: ticket.is_multiple_of(8),
     }
 }
