Routing: calls leave their data centre only if they would be late there

Otherwise it leaves if it gains a quarter of its time after the cost of its bytes (request and answer of the kind), for a far target drawn by free room. A far data centre is judged by the average of its reports; from 70% load on it receives fewer calls, from 85% none, and while its load is unknown one at a time. Calls that are late or refused at home may use it up to 97%. Hedges and probes stay at home. Event sent names why a call left (left_data_centre), and bronzeport_calls_left_total counts it.

Without the setting, choices are the same as before; the existing tests are unchanged.

Tests of daemon, route, member and wire pass.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use futures::future::{Either, select};
 use kernel::{Clock, Kernel, Mailbox};
-use route::{AttemptHistory, AttemptResult, Failure, Node, RetryContext, RetryDecision};
+use route::{AttemptHistory, AttemptResult, Departure, Failure, Node, RetryContext, RetryDecision};
 use wire::{Answer, Outcome, Reason, Request};
 
 use crate::call::Call;
@@ -228,7 +228,9 @@
             hedge_after.filter(|_| progress.targets_reached + 2 <= call.settings.max_attempts);
         let node = route.node;
         let may_queue = route.may_queue;
-        self.record(call, Event::Sent { to: node, may_queue, estimate: route.estimate });
+        let left_data_centre = route.departure.map(Departure::name);
+        let estimate = route.estimate;
+        self.record(call, Event::Sent { to: node, may_queue, left_data_centre, estimate });
         let first = self.send(call, deadline, claim_tag, route, crashes);
         let with_hedge = async {
             let Some(hedge_after) = hedge_after else {
@@ -316,6 +318,7 @@
             kind: call.settings.kind.clone(),
             node: route.node,
             attempt: route.attempt,
+            request_bytes: 0,
             is_open: true,
         };
         let remaining = deadline.saturating_duration_since(self.clock.now());
@@ -326,6 +329,7 @@
             claim_tag: claim_tag.into(),
             ..self.build_request(call, remaining)
         };
+        open_attempt.request_bytes = request.wire_size();
         let answer = self.deliver(route.node, route.address, request).await;
         open_attempt.finish(&answer);
         self.record(call, answer_event(route.node, &answer));
@@ -435,6 +439,7 @@
     kind: Box<str>,
     node: Node,
     attempt: route::AttemptId,
+    request_bytes: usize,
     is_open: bool,
 }
 
@@ -452,6 +457,7 @@
             attempt: self.attempt,
             result,
             load: load.filter(|load| load.slots > 0),
+            request_bytes: self.request_bytes,
             bytes,
         });
     }
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -56,6 +56,9 @@
         #[serde(serialize_with = "write_hex")]
         to: Node,
         may_queue: bool,
+        /// Why the request left its data centre; `None` if it stayed or no other is far.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        left_data_centre: Option<&'static str>,
         #[serde(flatten)]
         estimate: TargetEstimate,
     },
@@ -188,11 +191,13 @@
             Self::Arrived { service, depth, .. } => {
                 format!("{ARRIVED} for {service} at depth {depth}")
             }
-            Self::Sent { to, may_queue: true, estimate } => {
-                format!("sent to {to:016x}, may queue, {}", estimate.text())
-            }
-            Self::Sent { to, may_queue: false, estimate } => {
-                format!("sent to {to:016x}, {}", estimate.text())
+            Self::Sent { to, may_queue, left_data_centre, estimate } => {
+                let queue = if *may_queue { ", may queue" } else { "" };
+                let left = match left_data_centre {
+                    Some(reason) => format!(", left its data centre ({reason})"),
+                    None => String::new(),
+                };
+                format!("sent to {to:016x}{queue}{left}, {}", estimate.text())
             }
             Self::Hedged { to, estimate } => format!("hedged at {to:016x}, {}", estimate.text()),
             Self::Failed { from, reason, outcome } => {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,8 +9,9 @@
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::Member;
 use route::{
-    AttemptHistory, AttemptId, AttemptResult, Budget, BudgetShares, Budgets, Call, Choice, Load,
-    Node, Policy, Pool, RetryContext, RetryDecision, Target, decide_retry, pick_subset,
+    AttemptHistory, AttemptId, AttemptResult, Budget, BudgetShares, Budgets, Call, Choice,
+    DataCentre, Departure, Load, Node, Policy, Pool, RetryContext, RetryDecision, Target,
+    decide_retry, pick_subset,
 };
 
 use crate::journal::TargetEstimate;
@@ -60,7 +61,8 @@
         attempt: AttemptId,
         result: AttemptResult,
         load: Option<Load>,
-        /// Size of the answer's body in bytes.
+        /// Sizes of the request and of the answer's body in bytes.
+        request_bytes: usize,
         bytes: usize,
     },
     /// Decide whether a call is sent to another target.
@@ -94,12 +96,21 @@
     pub(crate) address: Box<str>,
     pub(crate) attempt: AttemptId,
     pub(crate) may_queue: bool,
+    /// Why the call leaves its data centre; `None` if it stays or no data centre is far.
+    pub(crate) departure: Option<Departure>,
     /// Estimate of the target at the time of the choice.
     pub(crate) estimate: TargetEstimate,
     /// Time after which a hedge is sent; `None` if the policy does not hedge.
     pub(crate) hedge_after: Option<Duration>,
 }
 
+/// Target that was chosen for an attempt.
+struct Chosen {
+    node: Node,
+    may_queue: bool,
+    departure: Option<Departure>,
+}
+
 /// Starts the service.
 pub(crate) fn start(kernel: &Kernel, node: Node, settings: &Settings, seed: u64) {
     let policy = settings.policy;
@@ -112,6 +123,8 @@
         policy,
         data_centre: settings.data_centre.clone(),
         transfer_cost: settings.transfer_cost,
+        locality_rtt: settings.locality_rtt,
+        data_centre_numbers: HashMap::new(),
         random: fastrand::Rng::with_seed(seed),
         members: HashMap::new(),
         pools: HashMap::new(),
@@ -139,6 +152,10 @@
     data_centre: Box<str>,
     /// Cost of transferring one megabyte between data centres, as time in seconds.
     transfer_cost: f64,
+    /// Round-trip time from which on a data centre is far; `None` if none is.
+    locality_rtt: Option<Duration>,
+    /// Numbers of the data centres that are or were far. A number is never used again.
+    data_centre_numbers: HashMap<Box<str>, DataCentre>,
     random: fastrand::Rng,
     members: HashMap<Node, (Member, Duration)>,
     pools: HashMap<Box<str>, Pool>,
@@ -191,13 +208,23 @@
             }
             Message::Hedge { service, call, tried, is_very_late, reply } => {
                 let node = self.pool(&service).decide_hedge(now, &tried, &call, is_very_late);
-                let route = node.map(|node| (node, false));
+                let route = node.map(|node| Chosen { node, may_queue: false, departure: None });
                 self.begin_attempt(now, service, route, &call, reply);
             }
-            Message::AttemptEnded { service, kind, node, attempt, result, load, bytes } => {
+            Message::AttemptEnded {
+                service,
+                kind,
+                node,
+                attempt,
+                result,
+                load,
+                request_bytes,
+                bytes,
+            } => {
                 let pool = self.pool(&service);
                 pool.end(now, node, attempt, result);
                 if matches!(result, AttemptResult::Answered(_)) {
+                    pool.observe_request_size(&kind, request_bytes);
                     pool.observe_answer_size(&kind, bytes);
                 }
                 if let Some(load) = load {
@@ -250,13 +277,13 @@
         history: &AttemptHistory,
         is_first: bool,
         call: &Call,
-    ) -> Option<(Node, bool)> {
+    ) -> Option<Chosen> {
         if is_first {
             self.pool(service).budgets.deposit();
         }
         let mut random = self.random.fork();
         let pool = self.pool(service);
-        let choice = pool.choose(now, &mut random, history, call);
+        let (choice, departure) = pool.choose_with_departure(now, &mut random, history, call);
         if is_first && self.policy == Policy::Bronzeport {
             let probed = self.pool(service).decide_probe(now);
             if let Some(node) = probed {
@@ -264,7 +291,7 @@
             }
         }
         match choice {
-            Choice::Send { node, may_queue } => Some((node, may_queue)),
+            Choice::Send { node, may_queue } => Some(Chosen { node, may_queue, departure }),
             Choice::NoTarget => None,
         }
     }
@@ -273,11 +300,11 @@
         &mut self,
         now: Instant,
         service: Box<str>,
-        chosen: Option<(Node, bool)>,
+        chosen: Option<Chosen>,
         call: &Call,
         reply: Reply<Option<Route>>,
     ) {
-        let route = chosen.and_then(|(node, may_queue)| {
+        let route = chosen.and_then(|Chosen { node, may_queue, departure }| {
             let address = self.members.get(&node)?.0.address.clone();
             let hedges = self.policy == Policy::Bronzeport;
             let pool = self.pool(&service);
@@ -288,9 +315,14 @@
                 estimate: observe_prediction(prediction),
                 attempt,
                 may_queue,
+                departure,
                 hedge_after: hedges.then(|| pool.hedge_after(call)),
             })
         });
+        if let Some(departure) = route.as_ref().and_then(|route| route.departure) {
+            metrics::counter!("bronzeport_calls_left_total", "reason" => departure.name())
+                .increment(1);
+        }
         let begun = route.as_ref().map(|route| (route.node, route.attempt));
         let was_delivered = reply.send(route);
         if let (Some((node, attempt)), false) = (begun, was_delivered) {
@@ -301,7 +333,10 @@
     fn pool(&mut self, service: &str) -> &mut Pool {
         if !self.pools.contains_key(service) {
             let mut pool = Pool::new(self.policy, self.budgets(service));
-            pool.set_targets(self.targets(service));
+            let targets = self.targets(service);
+            let far = self.far_nodes(&targets);
+            pool.set_targets(targets);
+            pool.set_far(&far);
             pool.set_transfer_cost(self.transfer_cost);
             self.pools.insert(service.into(), pool);
         }
@@ -336,10 +371,33 @@
         let services: Vec<Box<str>> = self.pools.keys().cloned().collect();
         for service in services {
             let targets = self.targets(&service);
-            self.pool(&service).set_targets(targets);
+            let far = self.far_nodes(&targets);
+            let pool = self.pool(&service);
+            pool.set_targets(targets);
+            pool.set_far(&far);
         }
     }
 
+    /// Returns those of the targets that are in far data centres, each with the number of its
+    /// data centre. One whose round-trip time is not known yet counts as far.
+    fn far_nodes(&mut self, targets: &[Target]) -> HashMap<Node, DataCentre> {
+        let Some(limit) = self.locality_rtt else {
+            return HashMap::new();
+        };
+        let is_far = |target: &&Target| {
+            !target.in_local_data_centre && (target.rtt >= limit || target.rtt.is_zero())
+        };
+        let far = targets.iter().filter(is_far).map(|target| target.node);
+        let members = &self.members;
+        let numbers = &mut self.data_centre_numbers;
+        let numbered = far.filter_map(|node| {
+            let data_centre = &members.get(&node)?.0.data_centre;
+            let next = numbers.len() as DataCentre;
+            Some((node, *numbers.entry(data_centre.clone()).or_insert(next)))
+        });
+        numbered.collect()
+    }
+
     fn set_services(&mut self, services: Vec<Rc<Service>>) {
         let services = services.into_iter().map(|service| (service.name.clone(), service));
         self.services = services.collect();
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::locality::DataCentre;
 use crate::pool::{Call, Prediction};
 use crate::request_stats::NOMINAL_PACE;
 use crate::{AttemptId, Node};
@@ -98,6 +99,8 @@
 #[derive(Debug)]
 pub(crate) struct Estimate {
     pub(crate) target: Target,
+    /// Number of the target's data centre if it is far from the entry.
+    pub(crate) data_centre: Option<DataCentre>,
     report: Option<Report>,
     last_probe: Option<Instant>,
     /// When the latest attempt of this entry was sent.
@@ -124,6 +127,7 @@
     pub(crate) fn new(target: Target) -> Self {
         Self {
             target,
+            data_centre: None,
             report: None,
             last_probe: None,
             last_attempt: None,
@@ -349,6 +353,11 @@
         self.occupancy(now, prior) + 1.0 <= self.slots() && self.start_delay(now).is_zero()
     }
 
+    /// Whether the target's rate limit permits a request of this entry now.
+    pub(crate) fn may_start_now(&self, now: Instant) -> bool {
+        self.start_delay(now).is_zero()
+    }
+
     /// Time until this entry may send another request to a target that limits its rate.
     fn start_delay(&self, now: Instant) -> Duration {
         let period = self.report.map_or(Duration::ZERO, |report| report.load.start_period);
@@ -377,6 +386,17 @@
             + transfer_cost
     }
 
+    /// Expected time from sending a call to its answer, in seconds. Other than the cost, it is no
+    /// longer for a target that is merely likely to get full.
+    pub(crate) fn expected_time(&self, now: Instant, prior: Prior) -> f64 {
+        let service_time = self.expected_service_time(now, prior).as_secs_f64();
+        let slots = self.slots();
+        let waiting = (self.occupancy(now, prior) + 1.0 - slots) / slots;
+        let wait = (service_time * waiting.max(0.0)).max(self.start_delay(now).as_secs_f64());
+        let failure_factor = 1.0 + f64::from(self.failures) * self.failure_weight(now);
+        (self.target.rtt.as_secs_f64() + service_time + wait) * failure_factor
+    }
+
     /// Weight of the recorded failures, which decays from 1 to 0 after the last one.
     fn failure_weight(&self, now: Instant) -> f64 {
         self.last_failure.map_or(0.0, |at| decay(now - at, FAILURE_DECAY))
@@ -452,7 +472,7 @@
 }
 
 /// Exponential decay from 1 to 0 with a time constant.
-fn decay(age: Duration, time_constant: Duration) -> f64 {
+pub(crate) fn decay(age: Duration, time_constant: Duration) -> f64 {
     let time_constant = time_constant.as_secs_f64().max(1e-6);
     (-age.as_secs_f64() / time_constant).exp()
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,9 +1,11 @@
 //! The targets of one service as seen by one entry, and the choice among them.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::budget::Budgets;
 use crate::estimate::{Estimate, Load, Prior, Target};
+use crate::locality::{DataCentre, Demand, Departure, Home, Locality, suffices};
 use crate::policy::Policy;
 use crate::request_stats::{RequestStats, default_nominal_time};
 use crate::retry::MAX_REDIRECTS;
@@ -99,6 +101,7 @@
     hedge_after: Duration,
     request_stats: RequestStats,
     transfer_cost: f64,
+    locality: Locality,
     /// Budgets of this service for probes, retries and hedges.
     pub budgets: Budgets,
 }
@@ -114,6 +117,7 @@
             hedge_after: Duration::from_millis(50),
             request_stats: RequestStats::default(),
             transfer_cost: 0.0,
+            locality: Locality::default(),
             budgets,
         }
     }
@@ -124,6 +128,23 @@
         self.transfer_cost = transfer_cost;
     }
 
+    /// Sets which targets are in far data centres, with the number of each one's data centre.
+    /// They receive calls only when the others lack capacity. Initially, none is far.
+    pub fn set_far(&mut self, far: &HashMap<Node, DataCentre>) {
+        for estimate in &mut self.estimates {
+            estimate.data_centre = far.get(&estimate.target.node).copied();
+        }
+    }
+
+    fn has_far(&self) -> bool {
+        self.estimates.iter().any(|estimate| estimate.data_centre.is_some())
+    }
+
+    /// Records the size in bytes of a call of this kind.
+    pub fn observe_request_size(&mut self, kind: &str, bytes: usize) {
+        self.request_stats.observe_request_size(kind, bytes);
+    }
+
     /// Records the size in bytes of an answer to a call of this kind.
     pub fn observe_answer_size(&mut self, kind: &str, bytes: usize) {
         self.request_stats.observe_answer_size(kind, bytes);
@@ -168,7 +189,102 @@
         history: &AttemptHistory,
         call: &Call,
     ) -> Choice {
+        self.choose_with_departure(now, random, history, call).0
+    }
+
+    /// Chooses a target as [`Pool::choose`] does. If it is in a far data centre, also returns
+    /// why the call leaves its own.
+    pub fn choose_with_departure(
+        &mut self,
+        now: Instant,
+        random: &mut fastrand::Rng,
+        history: &AttemptHistory,
+        call: &Call,
+    ) -> (Choice, Option<Departure>) {
         let candidates = self.candidates(now, &history.reached);
+        if self.policy != Policy::Bronzeport || !self.has_far() {
+            return (self.choose_among(now, candidates, random, history, call), None);
+        }
+        let is_near = |index: &usize| self.estimates[*index].data_centre.is_none();
+        let (near, far): (Vec<usize>, Vec<usize>) = candidates.into_iter().partition(is_near);
+        let demand = self.demand(call, history);
+        let home = self.home(now, &near, &demand, history);
+        if home.is_some_and(|home| suffices(home, &demand)) {
+            return (self.choose_among(now, near, random, history, call), None);
+        }
+        let far_estimates: Vec<&Estimate> = far.iter().map(|i| &self.estimates[*i]).collect();
+        // A call that a far guard has refused returns home if it is not late there.
+        let has_returned = far_estimates.iter().any(|e| history.refused.contains(&e.target.node));
+        let chosen = match home {
+            Some(home) if has_returned && !home.is_urgent(&demand) => None,
+            // Nothing waits in the queue of a far target while there is one at home.
+            Some(_) if !demand.has_alternative => None,
+            _ => self.locality.choose_far(
+                now,
+                random,
+                &far_estimates,
+                &history.refused,
+                &demand,
+                home,
+            ),
+        };
+        let departure = home.map_or(Departure::NoTarget, |home| home.departure());
+        match (chosen, home) {
+            (Some(node), _) => {
+                let may_queue = !demand.has_alternative;
+                (Choice::Send { node, may_queue }, Some(departure))
+            }
+            (None, Some(_)) => (self.choose_among(now, near, random, history, call), None),
+            (None, None) => {
+                let choice = self.choose_among(now, far, random, history, call);
+                let leaves = choice != Choice::NoTarget;
+                (choice, leaves.then_some(departure))
+            }
+        }
+    }
+
+    /// Returns what the data centre of the entry offers a call: the least expected time of the
+    /// targets in `near` whose guards have not refused it, or of all if all have.
+    fn home(
+        &self,
+        now: Instant,
+        near: &[usize],
+        demand: &Demand,
+        history: &AttemptHistory,
+    ) -> Option<Home> {
+        let estimates = near.iter().map(|index| &self.estimates[*index]);
+        let (refused, untried): (Vec<&Estimate>, Vec<&Estimate>) =
+            estimates.partition(|estimate| history.refused.contains(&estimate.target.node));
+        let considered = if untried.is_empty() { &refused } else { &untried };
+        let times = considered.iter().map(|estimate| {
+            let is_free = estimate.has_free_slot(now, demand.prior);
+            (!is_free, estimate.expected_time(now, demand.prior))
+        });
+        let (is_full, time) = times.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let has_free = considered.iter().any(|e| e.has_free_slot(now, demand.prior));
+        // One refusal may only show that the report about a free slot was out of date.
+        let has_refused = untried.is_empty() || (refused.len() > 1 && !has_free);
+        Some(Home { time, is_free: !is_full, has_refused })
+    }
+
+    fn demand(&self, call: &Call, history: &AttemptHistory) -> Demand {
+        let bytes = self.request_stats.mean_size(&call.kind);
+        Demand {
+            target_latency: call.target_latency,
+            transfer_cost: bytes / BYTES_PER_MEGABYTE * self.transfer_cost,
+            prior: self.prior_for_call(call),
+            has_alternative: history.refused.len() < MAX_REDIRECTS,
+        }
+    }
+
+    fn choose_among(
+        &mut self,
+        now: Instant,
+        candidates: Vec<usize>,
+        random: &mut fastrand::Rng,
+        history: &AttemptHistory,
+        call: &Call,
+    ) -> Choice {
         if candidates.is_empty() {
             return Choice::NoTarget;
         }
@@ -230,27 +346,35 @@
         }
     }
 
+    /// Averages over the targets that are not far, if there are any.
     fn prior(&self, kind: &str) -> Prior {
+        let has_near = self.estimates.iter().any(|estimate| estimate.data_centre.is_none());
         let transfer_cost =
             self.request_stats.mean_answer_size(kind) / BYTES_PER_MEGABYTE * self.transfer_cost;
         Prior {
             nominal_time: self.request_stats.nominal_time(kind),
             transfer_cost,
-            ..Prior::of(self.estimates.iter())
+            ..Prior::of(self.estimates.iter().filter(|e| e.data_centre.is_none() || !has_near))
         }
     }
 
     /// Records a guard's load report, from an answer or a probe.
     pub fn observe_load(&mut self, now: Instant, node: Node, load: Load) {
-        if let Some(estimate) = self.estimate_mut(node) {
-            estimate.observe_load(now, load);
+        let Some(estimate) = self.estimate_mut(node) else {
+            return;
+        };
+        estimate.observe_load(now, load);
+        if let Some(data_centre) = estimate.data_centre {
+            self.locality.observe(now, data_centre, load);
         }
     }
 
     /// Returns the target with the oldest load report if that report is stale and the
     /// probe budget has a token.
     pub fn decide_probe(&mut self, now: Instant) -> Option<Node> {
-        let staying = self.estimates.iter_mut().filter(|e| !e.is_leaving());
+        // What is known of far targets comes with answers from them.
+        let staying =
+            self.estimates.iter_mut().filter(|e| !e.is_leaving() && e.data_centre.is_none());
         let stalest = staying.max_by_key(|estimate| estimate.report_age(now))?;
         if stalest.report_age(now) <= STALE_REPORT_AGE || !self.budgets.probes.try_withdraw() {
             return None;
@@ -284,7 +408,8 @@
     ) -> Option<Node> {
         let candidates = self.candidates(now, tried);
         let prior = self.prior_for_call(call);
-        let free = candidates.into_iter().map(|index| &self.estimates[index]);
+        let near = candidates.into_iter().map(|index| &self.estimates[index]);
+        let free = near.filter(|estimate| estimate.data_centre.is_none());
         let free = free.filter(|estimate| estimate.has_free_slot(now, prior));
         let best =
             free.min_by(|a, b| a.cost(now, prior, false).total_cmp(&b.cost(now, prior, false)))?;
--- a/crates/route/src/request_stats.rs
+++ b/crates/route/src/request_stats.rs
@@ -28,7 +28,8 @@
     /// Time on a target at nominal pace.
     nominal_time: Duration,
     samples: u32,
-    /// Moving average of the answer size, in bytes.
+    /// Moving averages of the sizes of request and answer, in bytes.
+    request_size: f64,
     answer_size: f64,
 }
 
@@ -52,7 +53,12 @@
             None if has_room => {
                 self.kinds.insert(
                     kind.into(),
-                    KindStats { nominal_time: sample, samples: 1, answer_size: 0.0 },
+                    KindStats {
+                        nominal_time: sample,
+                        samples: 1,
+                        request_size: 0.0,
+                        answer_size: 0.0,
+                    },
                 );
             }
             None => {}
@@ -62,13 +68,23 @@
     /// Records the size of an answer in bytes.
     pub fn observe_answer_size(&mut self, kind: &str, bytes: usize) {
         if let Some(known) = self.kinds.get_mut(kind) {
-            known.answer_size = match known.answer_size {
-                0.0 => bytes as f64,
-                mean => mean + (bytes as f64 - mean) * SIZE_WEIGHT,
-            };
+            known.answer_size = moving_average(known.answer_size, bytes);
         }
     }
 
+    /// Records the size of a request in bytes.
+    pub fn observe_request_size(&mut self, kind: &str, bytes: usize) {
+        if let Some(known) = self.kinds.get_mut(kind) {
+            known.request_size = moving_average(known.request_size, bytes);
+        }
+    }
+
+    /// Returns the mean size of a request and its answer of a kind together in bytes, or 0 if
+    /// none has been recorded.
+    pub fn mean_size(&self, kind: &str) -> f64 {
+        self.kinds.get(kind).map_or(0.0, |stats| stats.request_size + stats.answer_size)
+    }
+
     /// Returns the time of a kind at nominal pace, or `None` if no request of the
     /// kind has been recorded.
     pub fn nominal_time(&self, kind: &str) -> Option<Duration> {
@@ -82,6 +98,13 @@
     }
 }
 
+fn moving_average(mean: f64, bytes: usize) -> f64 {
+    match mean {
+        0.0 => bytes as f64,
+        mean => mean + (bytes as f64 - mean) * SIZE_WEIGHT,
+    }
+}
+
 /// Ratio of the target latency to the assumed nominal time of a kind without
 /// samples. Operators set the target latency to about three times the nominal time.
 const TARGET_LATENCY_FACTOR: u32 = 3;
