--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -336,13 +336,18 @@
 
     /// Returns the sum of one of the daemon's counters over all labels.
     pub fn counter(&self, name: &str) -> f64 {
+        self.counter_with(name, "")
+    }
+
+    /// Returns the sum of one of the daemon's counters over the labels that contain `label`.
+    pub fn counter_with(&self, name: &str, label: &str) -> f64 {
         let Ok(mut response) = agent().get(format!("http://{}/metrics", self.admin)).call() else {
             return 0.0;
         };
         let text = response.body_mut().read_to_string().unwrap_or_default();
         let lines = text.lines().filter(|line| {
             let rest = line.strip_prefix(name);
-            rest.is_some_and(|rest| rest.starts_with(['{', ' ']))
+            rest.is_some_and(|rest| rest.starts_with(['{', ' ']) && rest.contains(label))
         });
         lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
     }
--- a/crates/member/tests/locality.rs
+++ b/crates/member/tests/locality.rs
@@ -13,6 +13,8 @@
     lists: BTreeMap<u64, Members>,
     addresses: HashMap<Box<str>, u64>,
     silent: Vec<u64>,
+    /// Nodes on one side of a network partition; empty if there is none.
+    partitioned: Vec<u64>,
     /// Revision in force at each node. All datagrams carry it, as the daemon's do.
     revisions: BTreeMap<u64, u64>,
     far_datagrams: u64,
@@ -46,6 +48,7 @@
             lists: all.iter().map(list).collect(),
             addresses: all.iter().map(|m| (m.address.clone(), m.node)).collect(),
             silent: Vec::new(),
+            partitioned: Vec::new(),
             revisions: (1..=count).map(|node| (node, 0)).collect(),
             far_datagrams: 0,
             syncs_from_far: 0,
@@ -113,7 +116,8 @@
             return;
         }
         self.far_datagrams += u64::from(self.is_far(from, to));
-        if self.silent.contains(&to) {
+        let is_cut = self.partitioned.contains(&from) != self.partitioned.contains(&to);
+        if is_cut || self.silent.contains(&to) {
             return;
         }
         let now = self.now;
@@ -132,6 +136,9 @@
 
     fn sync(&mut self, from: u64, with: &str) {
         let with = self.addresses[with];
+        if self.partitioned.contains(&from) != self.partitioned.contains(&with) {
+            return;
+        }
         self.syncs_from_far += u64::from(self.is_far(from, with));
         let digests = self.lists[&from].digests().to_vec();
         let members = self.lists[&with].differing(&digests, 1000);
@@ -203,6 +210,23 @@
     }
 }
 
+/// Guards against data centres that stay lost for each other because too few members ping those
+/// that are lost.
+#[test]
+fn a_data_centre_returns_from_a_partition_as_fast_as_without_locality() {
+    let [off, on] = FAR.map(|limit| {
+        let mut fleet = Fleet::new(60, 3, 4, limit);
+        fleet.partitioned = (1..=60).filter(|node| node % 3 == 1).collect();
+        fleet.run(Duration::from_secs(120));
+        assert!(fleet.lists[&2].find(1).is_some_and(|member| member.state == State::Lost));
+        fleet.partitioned = Vec::new();
+        let all_alive = |fleet: &Fleet| (1..=60).all(|node| fleet.know(node, State::Alive));
+        fleet.run_until(Duration::from_secs(120), all_alive).as_secs_f64()
+    });
+    println!("all members are back after a partition: {off:.1} s off, {on:.1} s on");
+    assert!(on <= off + 3.0, "{on} s instead of {off} s");
+}
+
 /// A member that is alone in its data centre is pinged by far members only.
 #[test]
 fn a_lost_host_that_was_alone_in_its_data_centre_is_noticed() {
