Daemon: a service for quotas

Cause: the decisions of the crate quota need timers, messages to other daemons and the list of members.

A coordinator that knows none of the organisations counts as failed.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use ::quota::Admission;
 use bytes::Bytes;
 use hyper::Response;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -20,7 +21,7 @@
 use crate::claims::{Claims, TaggedRow};
 use crate::configuration::{Lookup, MatchedPath};
 use crate::journal::{self, Event};
-use crate::{configuration, guard, names, router};
+use crate::{configuration, guard, names, quota, router};
 
 /// Time after which a caller should retry while the platform is down or this daemon has no
 /// configuration.
@@ -35,6 +36,7 @@
     configuration: Mailbox<configuration::Message>,
     router: Mailbox<router::Message>,
     journal: Mailbox<journal::Message>,
+    quota: Mailbox<quota::Message>,
     claims: Claims,
     dispatcher: Dispatcher,
     splits: RefCell<TrafficSplits>,
@@ -78,6 +80,7 @@
             configuration: kernel.service(names::CONFIGURATION),
             router: kernel.service(names::ROUTER),
             journal: kernel.service(names::JOURNAL),
+            quota: kernel.service(names::QUOTA),
             claims: Claims::new(kernel),
             dispatcher: Dispatcher::new(kernel, node, guard),
             splits: RefCell::new(TrafficSplits::with_seed(node)),
@@ -266,6 +269,24 @@
         held.flatten().map(|remaining| Answer { retry_after: remaining, ..not_run(Reason::Held) })
     }
 
+    /// Takes a token of the organisation's quota for a call. Returns a refusal if the call is
+    /// beyond the quota.
+    // Called once calls carry their organisation.
+    #[allow(dead_code)]
+    async fn check_quota(&self, id: &str, organisation: &str, deadline: Instant) -> Option<Answer> {
+        let time_left = deadline.saturating_duration_since(self.clock.now());
+        let organisation: Box<str> = organisation.into();
+        let message =
+            |reply| quota::Message::Admit { organisation: organisation.clone(), time_left, reply };
+        let admission = self.quota.request(message).await;
+        let Some(Admission::Refused { retry_after }) = admission else {
+            return None;
+        };
+        self.record(id, Event::OverQuota { organisation, retry_after_ms: retry_after });
+        let refusal = Answer::refusal(Outcome::NotRun, Reason::OverQuota, self.node);
+        Some(Answer { retry_after, ..refusal })
+    }
+
     /// Runs a request that may not be repeated. Its row in the store is read first, so that a
     /// refusal of this copy can be distinguished from refusals of other copies.
     async fn run_once(&self, call: &Call, deadline: Instant) -> Answer {
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -51,6 +51,12 @@
         /// Number of earlier requests on the same connection that were not answered yet.
         ahead: u64,
     },
+    /// The request is beyond the quota of its organisation and was refused.
+    OverQuota {
+        organisation: Box<str>,
+        #[serde(serialize_with = "write_millis")]
+        retry_after_ms: Duration,
+    },
     /// The request was sent to a guard.
     Sent {
         #[serde(serialize_with = "write_hex")]
@@ -188,6 +194,9 @@
             Self::Arrived { service, depth, .. } => {
                 format!("{ARRIVED} for {service} at depth {depth}")
             }
+            Self::OverQuota { organisation, retry_after_ms } => {
+                format!("beyond the quota of {organisation}, retry after {retry_after_ms:.1?}")
+            }
             Self::Sent { to, may_queue: true, estimate } => {
                 format!("sent to {to:016x}, may queue, {}", estimate.text())
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,6 +31,7 @@
 mod names;
 mod node;
 mod peers;
+mod quota;
 mod router;
 pub mod settings;
 mod settlement;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 use wire::{Gossip, MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
 
-use crate::{configuration, guard, names, peers, router, storage};
+use crate::{configuration, guard, names, peers, quota, router, storage};
 
 /// Interval at which timers of the membership protocol are checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -98,6 +98,8 @@
     Load { load: Load, requesters: Vec<Node> },
     /// The local target serves this service.
     AnnounceService { service: Box<str>, slots: u16 },
+    /// The local node counts this many hosts in the fleet, for quotas; 0 if there are none.
+    FleetSize(u32),
     /// Announces that the local node is leaving.
     AnnounceLeaving,
     /// Announces that the local node has left.
@@ -156,6 +158,7 @@
         hold_budget_used_until: kernel.clock().now(),
         load: None,
         freshness: Freshness::default(),
+        fleet_size: 0,
         last_gossip_at: None,
         departed: HashSet::new(),
     };
@@ -177,6 +180,8 @@
     hold_budget_used_until: Instant,
     load: Option<Load>,
     freshness: Freshness,
+    /// Number of hosts that gossip carries.
+    fleet_size: u32,
     last_gossip_at: Option<Instant>,
     departed: HashSet<Node>,
 }
@@ -246,6 +251,7 @@
                 reply.send(self.members.differing(&digests, SYNC_PAGE));
             }
             Message::Merge(list) => {
+                self.quota().send(quota::Message::ListsCompared);
                 if self.members.merge(now, list) {
                     let actions = self.members.spread([], JOIN_FANOUT, JOIN_FANOUT);
                     self.execute(actions);
@@ -269,6 +275,7 @@
                 self.members.announce_service(service, slots);
                 self.spread();
             }
+            Message::FleetSize(hosts) => self.fleet_size = hosts,
             Message::AnnounceLeaving => {
                 self.members.announce_leaving();
                 self.spread();
@@ -300,6 +307,9 @@
         };
         self.last_gossip_at = Some(self.kernel.clock().now());
         self.apply_holds(gossip.holds);
+        if gossip.hosts > 0 {
+            self.quota().send(quota::Message::FleetSize(gossip.hosts));
+        }
         if let Some(load) = gossip.load {
             let router: Mailbox<router::Message> = self.kernel.service(names::ROUTER);
             router.send(router::Message::LoadReported { node: sender.node, load });
@@ -383,7 +393,7 @@
             digest: self.members.digest(),
             load: self.load,
             confirmation: self.freshness.take(self.kernel.clock().now()),
-            hosts: 0,
+            hosts: self.fleet_size,
             evacuation: None,
         };
         let bytes = encode_gossip(&gossip);
@@ -416,9 +426,14 @@
         let configuration: Mailbox<configuration::Message> =
             self.kernel.service(names::CONFIGURATION);
         configuration.send(configuration::Message::MemberCount(count));
+        self.quota().send(quota::Message::MembersChanged);
         self.disconnect_departed();
     }
 
+    fn quota(&self) -> Mailbox<quota::Message> {
+        self.kernel.service(names::QUOTA)
+    }
+
     /// Closes the connections to members that have departed since the last call.
     fn disconnect_departed(&mut self) {
         let is_departed = |member: &&Member| matches!(member.state, State::Lost | State::Left);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -23,7 +23,7 @@
 use crate::settings::Settings;
 use crate::settlement::Claimer;
 use crate::{
-    admin, aux_listeners, configuration, guard, journal, membership, names, peers, router,
+    admin, aux_listeners, configuration, guard, journal, membership, names, peers, quota, router,
     settlement, storage,
 };
 
@@ -150,6 +150,7 @@
         _ => Discipline::Fifo,
     };
     let local = local_member(settings, node);
+    quota::start(kernel, &local);
     let bootstrap_peers = settings.peers.clone();
     membership::start(kernel, socket, local, bootstrap_peers, settings.join_within, seed)
         .describe(|| "cannot start gossip".into())?;
@@ -346,10 +347,11 @@
     let configuration: Mailbox<configuration::Message> = kernel.service(names::CONFIGURATION);
     let membership: Mailbox<membership::Message> = kernel.service(names::MEMBERSHIP);
     let journal: Mailbox<journal::Message> = kernel.service(names::JOURNAL);
+    let quota: Mailbox<quota::Message> = kernel.service(names::QUOTA);
     Rc::new(move |request| {
         let (guard, calls) = (guard.clone(), calls.clone());
         let (configuration, membership) = (configuration.clone(), membership.clone());
-        let journal = journal.clone();
+        let (journal, quota) = (journal.clone(), quota.clone());
         Box::pin(async move {
             match request {
                 RpcRequest::Call(call) => {
@@ -367,8 +369,10 @@
                     let message = |reply| membership::Message::Differing { digests, reply };
                     membership.request(message).await.map(RpcReply::Members)
                 }
-                // A daemon without quotas grants nothing.
-                RpcRequest::ExchangeQuota(_) => Some(RpcReply::ExchangeQuota(Vec::new())),
+                RpcRequest::ExchangeQuota(request) => {
+                    let message = |reply| quota::Message::Exchange { request, reply };
+                    quota.request(message).await.map(RpcReply::ExchangeQuota)
+                }
                 RpcRequest::Explain { id } => {
                     let message = |reply| journal::Message::Explain { id, reply };
                     let entries = journal.request(message).await?;
--- a/crates/quota/src/host.rs
+++ b/crates/quota/src/host.rs
@@ -195,7 +195,10 @@
         let Some(exchange) = self.exchange.take_if(is_current) else {
             return Vec::new();
         };
-        let mut actions = match grants {
+        // A coordinator without the configuration names none of the organisations. It is a daemon
+        // that has just started.
+        let knows_some = |grants: &Vec<Grant>| exchange.wants.is_empty() || !grants.is_empty();
+        let mut actions = match grants.filter(knows_some) {
             Some(grants) => {
                 let verdicts = self.entry.receive(now, &exchange.wants, &grants);
                 verdicts.into_iter().map(Action::Decide).collect()
