Quota: partitions of any length, frozen coordinators, and Retry-After of a new coordinator

Cause: in a trial with three sides of 29 hosts, each side forgot the others after some 120 s and divided the quotas among its own hosts: 2.24 times what a window permits. A frozen coordinator used up the whole time for which a request waits. A new coordinator measured its share of the credit over 2 s from its first second on and told refused requests to return after some 6 s. Change: lost hosts count for longer than 60 s if they are more than a tenth of the known ones. The coordinator's reply is awaited for 120 ms, a lender's for 100 ms; a lender's later reply still moves tokens. The share of a new coordinator is measured since its first credit.

--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -24,6 +24,8 @@
 use self::report::Report;
 use crate::{membership, names, peers};
 
+/// Time for which a lender's reply is awaited after [`BORROW_TIMEOUT`].
+const LATE_REPLY_LIMIT: Duration = Duration::from_secs(1);
 /// Most tokens of one organisation that a message may name, so that a malformed one does not
 /// distort the sums.
 const MAX_TOKENS: f64 = 1e6;
@@ -266,20 +268,13 @@
                     metrics::counter!("bronzeport_quota_messages_total", "kind" => "exchange")
                         .increment(1);
                     let request = self.request(false, credit, &wants);
-                    self.send(to, request, REPLY_TIMEOUT, move |grants| Message::Replied {
-                        sequence,
-                        grants,
-                    });
+                    self.transfer(to, sequence, request);
                 }
                 Action::Borrow { lender, wants } => {
                     metrics::counter!("bronzeport_quota_messages_total", "kind" => "borrow")
                         .increment(1);
                     let request = self.request(true, 0.0, &wants);
-                    let to = lender.clone();
-                    self.send(to, request, BORROW_TIMEOUT, move |grants| Message::Lent {
-                        lender,
-                        grants,
-                    });
+                    self.borrow(lender, request);
                 }
                 Action::Reply { ticket, grants } => {
                     if let Some(reply) = self.exchanges.remove(&ticket) {
@@ -298,29 +293,46 @@
         QuotaRequest { from: self.node, borrows, credit, wants: wants.collect() }
     }
 
-    /// Sends a request to another daemon. `reply` makes the message that reports the result.
-    fn send(
-        &self,
-        to: Box<str>,
-        request: QuotaRequest,
-        limit: Duration,
-        reply: impl FnOnce(Option<Vec<Grant>>) -> Message + 'static,
-    ) {
+    /// Sends an exchange to a coordinator.
+    fn transfer(&self, to: Box<str>, sequence: u64, request: QuotaRequest) {
         let (kernel, mailbox) = (self.kernel.clone(), self.mailbox.clone());
         self.kernel.start(async move {
-            let peers: Mailbox<peers::Message> = kernel.service(names::PEERS);
-            let call = async {
-                let message = |reply| peers::Message::Connect { address: to, reply };
-                let client = peers.request(message).await.flatten()?;
-                client.exchange_quota(&request).await.ok()
+            let call = call(&kernel, to, &request);
+            let grants = kernel.clock().timeout(REPLY_TIMEOUT, call).await.ok().flatten();
+            mailbox.send(Message::Replied { sequence, grants });
+        });
+    }
+
+    /// Asks a lender. A reply that comes after the time limit still moves tokens.
+    fn borrow(&self, lender: Box<str>, request: QuotaRequest) {
+        let (kernel, mailbox) = (self.kernel.clone(), self.mailbox.clone());
+        self.kernel.start(async move {
+            let clock = kernel.clock();
+            let mut call = std::pin::pin!(call(&kernel, lender.clone(), &request));
+            let grants = match clock.timeout(BORROW_TIMEOUT, &mut call).await {
+                Ok(grants) => grants,
+                Err(_) => {
+                    mailbox.send(Message::Lent { lender: lender.clone(), grants: None });
+                    let Ok(Some(grants)) = clock.timeout(LATE_REPLY_LIMIT, call).await else {
+                        return;
+                    };
+                    Some(grants)
+                }
             };
-            let grants = kernel.clock().timeout(limit, call).await.ok().flatten();
-            let grants = grants.map(|grants| grants.into_iter().map(from_wire).collect());
-            mailbox.send(reply(grants));
+            mailbox.send(Message::Lent { lender, grants });
         });
     }
 }
 
+/// Calls another daemon. Returns `None` if it cannot be reached.
+async fn call(kernel: &Kernel, to: Box<str>, request: &QuotaRequest) -> Option<Vec<Grant>> {
+    let peers: Mailbox<peers::Message> = kernel.service(names::PEERS);
+    let message = |reply| peers::Message::Connect { address: to, reply };
+    let client = peers.request(message).await.flatten()?;
+    let grants = client.exchange_quota(request).await.ok()?;
+    Some(grants.into_iter().map(from_wire).collect())
+}
+
 /// Returns a number of tokens from another daemon, or zero if it is not a sensible number.
 fn checked(tokens: f64) -> f64 {
     if tokens.is_finite() { tokens.clamp(0.0, MAX_TOKENS) } else { 0.0 }
--- a/crates/daemon/src/quota/tests.rs
+++ b/crates/daemon/src/quota/tests.rs
@@ -104,6 +104,8 @@
             grants.iter().map(|grant| grant.tokens).sum::<f64>()
         };
         assert_eq!(exchange(false, 0.25, 3.0).await, 3.0);
+        // 0.25 s of 20 tokens a second are five in all.
+        assert_eq!(exchange(false, 0.0, 3.0).await, 2.0);
         assert_eq!(exchange(false, 0.0, 3.0).await, 0.0);
         assert_eq!(exchange(false, f64::NAN, f64::INFINITY).await, 0.0);
         assert_eq!(exchange(true, 0.0, f64::NAN).await, 0.0);
--- a/crates/quota/src/coordinator.rs
+++ b/crates/quota/src/coordinator.rs
@@ -11,10 +11,12 @@
 
 /// Span over which received credit is measured.
 const CREDIT_SPAN: Duration = Duration::from_secs(2);
+/// Shortest time over which the credit of a host that has just become a coordinator is measured.
+const MIN_CREDIT_SPAN: Duration = Duration::from_millis(250);
 /// Shortest time between two requests to one lender.
 pub(crate) const BORROW_INTERVAL: Duration = Duration::from_millis(500);
-/// Time limit of a request to a lender.
-pub const BORROW_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which requests wait for a lender's reply. It is below [`crate::REPLY_TIMEOUT`].
+pub const BORROW_TIMEOUT: Duration = Duration::from_millis(100);
 /// Most lenders that are asked at once. With more data centres, different ones are asked in turn.
 const MAX_LENDERS: usize = 4;
 /// Number of tokens below which what all lenders gave counts as nothing.
@@ -45,6 +47,8 @@
     buckets: BTreeMap<Box<str>, Bucket>,
     credit: f64,
     received: Recent,
+    /// When credit was last received, and since when without a gap of [`CREDIT_SPAN`].
+    credited: Option<(Instant, Instant)>,
     lenders: Vec<Box<str>>,
     /// When each lender was last asked.
     asked: HashMap<Box<str>, Instant>,
@@ -70,6 +74,7 @@
             buckets: BTreeMap::new(),
             credit: 0.0,
             received: Recent::new(CREDIT_SPAN),
+            credited: None,
             lenders: Vec::new(),
             asked: HashMap::new(),
             round: None,
@@ -104,7 +109,11 @@
 
     /// Returns the part of the fleet's credit that this coordinator receives.
     pub fn share(&mut self, now: Instant) -> f64 {
-        self.received.per_second(now).min(1.0)
+        let Some((_, since)) = self.credited else {
+            return 0.0;
+        };
+        let span = now.saturating_duration_since(since).clamp(MIN_CREDIT_SPAN, CREDIT_SPAN);
+        (self.received.sum(now) / span.as_secs_f64()).min(1.0)
     }
 
     /// Returns the number of tokens held for an organisation.
@@ -126,6 +135,11 @@
         let credit = if credit > 0.0 { credit.min(1.0) } else { 0.0 };
         self.credit += credit;
         self.received.add(now, credit);
+        if credit > 0.0 {
+            let is_recent = |last: Instant| now.saturating_duration_since(last) < CREDIT_SPAN;
+            let since = self.credited.filter(|(last, _)| is_recent(*last));
+            self.credited = Some((now, since.map_or(now, |(_, since)| since)));
+        }
         for want in &wants {
             if let Some(bucket) = self.buckets.get_mut(&want.organisation) {
                 bucket.note_demand(now, want.tokens);
@@ -149,7 +163,8 @@
         wants.iter().filter_map(lend).collect()
     }
 
-    /// A lender has replied, or with no grants, has failed to reply within [`BORROW_TIMEOUT`].
+    /// A lender has replied, or with no grants, has failed to reply within [`BORROW_TIMEOUT`]. A
+    /// later reply may follow.
     pub fn lent(&mut self, now: Instant, lender: &str, grants: Vec<Grant>) -> Vec<Step> {
         let funds = self.funds(now);
         let mut round = self.round.take();
--- a/crates/quota/src/entry.rs
+++ b/crates/quota/src/entry.rs
@@ -10,10 +10,10 @@
 
 /// Time after which granted tokens expire.
 const TOKEN_LIFETIME: Duration = Duration::from_secs(1);
-/// Time limit of the coordinator's reply, and the part of a request's remaining time that it may
+/// Time for which a request waits for a token, and the part of its remaining time that this may
 /// use up.
-pub const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
-const REPLY_TIME_DIVISOR: u32 = 3;
+const WAIT_LIMIT: Duration = Duration::from_millis(250);
+const WAIT_DIVISOR: u32 = 3;
 /// Time whose expected requests are covered in advance.
 const AHEAD: Duration = Duration::from_millis(250);
 /// Number of expected requests from which on tokens are kept in advance. Below it, many of such
@@ -144,7 +144,7 @@
         if state.is_backing_off(now) {
             return Admission::Refused { retry_after: state.next_return(now) };
         }
-        let limit = REPLY_TIMEOUT.min(remaining / REPLY_TIME_DIVISOR);
+        let limit = WAIT_LIMIT.min(remaining / WAIT_DIVISOR);
         state.waiting.push_back((ticket, now + limit));
         Admission::Pending
     }
--- a/crates/quota/src/fleet.rs
+++ b/crates/quota/src/fleet.rs
@@ -3,10 +3,14 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-/// Time for which a lost host, and the largest number heard from others, still counts.
+/// Time for which each lost host, and the largest number heard from others, still counts.
 const MEMORY: Duration = Duration::from_secs(60);
 /// Number of parts of [`MEMORY`] for which the largest number heard is kept.
 const SLOTS: usize = 12;
+/// Part of the known hosts that may be lost for longer without counting. More are probably on the
+/// other side of a partition and accrue there, so they count until they are forgotten or have
+/// left. It is the part by which a quota may be exceeded.
+const MAX_UNCOUNTED: f64 = 0.1;
 /// Time after which a host that has met no other member accrues.
 const ALONE: Duration = Duration::from_secs(5);
 /// Time without growth of the number of hosts after which a host that has just started accrues.
@@ -103,8 +107,11 @@
     /// Returns the number of hosts that the local host counts by itself. This is what it tells
     /// others: a number that was only heard would otherwise be repeated forever.
     pub fn count(&self, now: Instant) -> u32 {
-        let is_counted = |since: &&Instant| now.saturating_duration_since(**since) < MEMORY;
-        self.present + self.lost.values().filter(is_counted).count() as u32
+        let is_old = |since: &&Instant| now.saturating_duration_since(**since) >= MEMORY;
+        let old = self.lost.values().filter(is_old).count() as u32;
+        let known = self.present + self.lost.len() as u32;
+        let are_uncounted = f64::from(old) <= f64::from(known) * MAX_UNCOUNTED;
+        known - if are_uncounted { old } else { 0 }
     }
 
     /// Returns the number of hosts among which quotas are divided, or `None` while the local
--- a/crates/quota/src/host.rs
+++ b/crates/quota/src/host.rs
@@ -6,11 +6,14 @@
 use config::Organisation;
 
 use crate::coordinator::{Coordinator, Step};
-use crate::entry::{Admission, Entry, REPLY_TIMEOUT, Ticket, Verdict};
+use crate::entry::{Admission, Entry, Ticket, Verdict};
 use crate::fleet::{Fleet, Presence};
 use crate::group::{list_coordinators, rank_candidates};
 use crate::{Accrual, Grant, TRANSFER_INTERVAL, Want};
 
+/// Time limit of the coordinator's reply. It is below half of the time for which a request waits,
+/// so that a second coordinator can be asked.
+pub const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
 /// Time for which a coordinator that did not reply is not asked again.
 const AVOIDANCE: Duration = Duration::from_secs(1);
 /// Ticket of the local host's own requests to its coordinator role.
@@ -177,7 +180,8 @@
         self.coordinator.lend(now, wants)
     }
 
-    /// A lender has replied, or has failed to reply in time and has lent nothing.
+    /// A lender has replied, or with no grants, has failed to reply within
+    /// [`crate::BORROW_TIMEOUT`]. A later reply may follow.
     pub fn lent(&mut self, now: Instant, lender: &str, grants: Vec<Grant>) -> Vec<Action> {
         let steps = self.coordinator.lent(now, lender, grants);
         self.carry_out(now, steps)
@@ -229,11 +233,8 @@
         if !is_due && !self.entry.has_waiting() {
             return actions;
         }
-        if is_due {
-            let missed = now.saturating_duration_since(self.next_transfer) >= TRANSFER_INTERVAL;
-            let base = if missed { now } else { self.next_transfer };
-            self.next_transfer = base + TRANSFER_INTERVAL;
-        }
+        // Each exchange transfers credit.
+        self.next_transfer = now + TRANSFER_INTERVAL;
         let hosts = self.fleet.hosts(now);
         let credit = self.accrual.take(now, hosts);
         let wants = self.entry.wants(now);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -34,10 +34,10 @@
 
 pub use accrual::{Accrual, MAX_ACCRUAL, TRANSFER_INTERVAL};
 pub use coordinator::{BORROW_TIMEOUT, Coordinator, Step};
-pub use entry::{Admission, Entry, REPLY_TIMEOUT, Ticket, Verdict};
+pub use entry::{Admission, Entry, Ticket, Verdict};
 pub use fleet::{Fleet, Presence};
 pub use group::{MAX_CANDIDATES, MAX_GROUP, list_coordinators, rank_candidates};
-pub use host::{Action, Host, Member};
+pub use host::{Action, Host, Member, REPLY_TIMEOUT};
 
 use std::time::Duration;
 
