Merge: fleet-wide quotas, wired to organisations and calls

The configuration service sends the organisations to the quota service, and the entry takes a token for each call of an organisation with a quota, after all other checks.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -14,13 +14,15 @@
 use std::time::{Duration, Instant};
 
 use config::stored::{self, Head};
-use config::{ActiveConfig, Change, InstallResult, PathRule, Revision, RouteTable, Service};
+use config::{
+    ActiveConfig, Change, InstallResult, Organisations, PathRule, Revision, RouteTable, Service,
+};
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use store::{Cell, Failure, Row};
 use wire::Changes;
 
 use crate::adapter::ProtocolAdapter;
-use crate::{guard, membership, names, peers, router, storage};
+use crate::{guard, membership, names, peers, quota, router, storage};
 use recovery::StoredHead;
 
 /// Reads of the newest revision number per second by the whole fleet.
@@ -301,6 +303,10 @@
             router.send(router::Message::RoutedServices(names));
             let guard: Mailbox<guard::Message> = self.kernel.service(names::GUARD);
             guard.send(guard::Message::TargetSettings(target_settings.cloned().collect()));
+            let organisations = table.organisations.iter().flat_map(Organisations::iter);
+            let organisations = organisations.map(|owner| (**owner).clone()).collect();
+            let quota: Mailbox<quota::Message> = self.kernel.service(names::QUOTA);
+            quota.send(quota::Message::Organisations(organisations));
         }
         let membership: Mailbox<membership::Message> = self.kernel.service(names::MEMBERSHIP);
         membership.send(membership::Message::Revision(revision));
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use ::quota::Admission;
 use bytes::Bytes;
 use config::{Organisation, PathRule, RouteTable};
 use hyper::Response;
@@ -21,7 +22,7 @@
 use crate::claims::{Claims, TaggedRow};
 use crate::configuration::{Lookup, MatchedPath};
 use crate::journal::{self, Event};
-use crate::{configuration, guard, names, router};
+use crate::{configuration, guard, names, quota, router};
 
 /// Time after which a caller should retry while the platform is down or this daemon has no
 /// configuration.
@@ -36,6 +37,7 @@
     configuration: Mailbox<configuration::Message>,
     router: Mailbox<router::Message>,
     journal: Mailbox<journal::Message>,
+    quota: Mailbox<quota::Message>,
     claims: Claims,
     dispatcher: Dispatcher,
     splits: RefCell<TrafficSplits>,
@@ -79,6 +81,7 @@
             configuration: kernel.service(names::CONFIGURATION),
             router: kernel.service(names::ROUTER),
             journal: kernel.service(names::JOURNAL),
+            quota: kernel.service(names::QUOTA),
             claims: Claims::new(kernel),
             dispatcher: Dispatcher::new(kernel, node, guard),
             splits: RefCell::new(TrafficSplits::with_seed(node)),
@@ -157,7 +160,7 @@
         let mut waiting_caller = WaitingCaller { entry: self, id: Some(call.id.clone()), arrived };
         let deadline = arrived + call.deadline;
         let refusal = match self.wait_for_earlier_requests(&call, &position, deadline).await {
-            PipelineWait::Ready => self.check(&call).await,
+            PipelineWait::Ready => self.check(&call, deadline).await,
             PipelineWait::TimedOut => {
                 Some(Answer::refusal(Outcome::NotRun, Reason::Late, self.node))
             }
@@ -278,7 +281,7 @@
     }
 
     /// Returns a refusal for a call that must not be sent to any target.
-    async fn check(&self, call: &Call) -> Option<Answer> {
+    async fn check(&self, call: &Call, deadline: Instant) -> Option<Answer> {
         let not_run = |reason| Answer::refusal(Outcome::NotRun, reason, self.node);
         if self.shutdown_stage.get() == ShutdownStage::Refusing {
             return Some(not_run(Reason::Leaving));
@@ -292,14 +295,25 @@
         if let Some(remaining) = held.flatten() {
             return Some(Answer { retry_after: remaining, ..not_run(Reason::Held) });
         }
-        self.check_quota(call).await
+        self.check_quota(call, deadline).await
     }
 
-    /// Returns a refusal for a call beyond the quota of its organisation. It is the last check,
-    /// so that no call that is refused for another reason counts against a quota.
-    async fn check_quota(&self, call: &Call) -> Option<Answer> {
-        let _quota = call.organisation.as_ref()?.quota?;
-        None
+    /// Takes a token of the organisation's quota for a call. Returns a refusal if the call is
+    /// beyond the quota. It is the last check, so that no call that is refused for another reason
+    /// counts against a quota.
+    async fn check_quota(&self, call: &Call, deadline: Instant) -> Option<Answer> {
+        let limited = call.organisation.as_ref().filter(|owner| owner.quota.is_some())?;
+        let organisation = limited.name.clone();
+        let time_left = deadline.saturating_duration_since(self.clock.now());
+        let message =
+            |reply| quota::Message::Admit { organisation: organisation.clone(), time_left, reply };
+        let admission = self.quota.request(message).await;
+        let Some(Admission::Refused { retry_after }) = admission else {
+            return None;
+        };
+        self.record(&call.id, Event::OverQuota { organisation, retry_after_ms: retry_after });
+        let refusal = Answer::refusal(Outcome::NotRun, Reason::OverQuota, self.node);
+        Some(Answer { retry_after, ..refusal })
     }
 
     /// Runs a request that may not be repeated. Its row in the store is read first, so that a
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -59,6 +59,12 @@
         /// Name of the path rule.
         kind: Box<str>,
     },
+    /// The request is beyond the quota of its organisation and was refused.
+    OverQuota {
+        organisation: Box<str>,
+        #[serde(serialize_with = "write_millis")]
+        retry_after_ms: Duration,
+    },
     /// The request was sent to a guard.
     Sent {
         #[serde(serialize_with = "write_hex")]
@@ -202,6 +208,9 @@
                 let organisation: String = organisation.collect();
                 format!("{ARRIVED} for {service} at depth {depth}{organisation}")
             }
+            Self::OverQuota { organisation, retry_after_ms } => {
+                format!("beyond the quota of {organisation}, retry after {retry_after_ms:.1?}")
+            }
             Self::UnknownKey { kind } => format!("refused on {kind}: no key that is in force"),
             Self::Sent { to, may_queue, left_data_centre, estimate } => {
                 let queue = if *may_queue { ", may queue" } else { "" };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod names;
 mod node;
 mod peers;
+mod quota;
 mod router;
 pub mod settings;
 mod settlement;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 use wire::{Gossip, MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip};
 
-use crate::{configuration, guard, names, peers, router, storage};
+use crate::{configuration, guard, names, peers, quota, router, storage};
 
 /// Interval at which timers of the membership protocol are checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -101,6 +101,8 @@
     Transferred { kind: &'static str, peer: Peer, bytes: usize },
     /// The local target serves this service.
     AnnounceService { service: Box<str>, slots: u16 },
+    /// The local node counts this many hosts in the fleet, for quotas; 0 if there are none.
+    FleetSize(u32),
     /// Announces that the local node is leaving.
     AnnounceLeaving,
     /// Announces that the local node has left.
@@ -176,6 +178,7 @@
         hold_budget_used_until: kernel.clock().now(),
         load: None,
         freshness: Freshness::default(),
+        fleet_size: 0,
         last_gossip_at: None,
         departed: HashSet::new(),
     };
@@ -197,6 +200,8 @@
     hold_budget_used_until: Instant,
     load: Option<Load>,
     freshness: Freshness,
+    /// Number of hosts that gossip carries.
+    fleet_size: u32,
     last_gossip_at: Option<Instant>,
     departed: HashSet<Node>,
 }
@@ -266,6 +271,7 @@
                 reply.send(self.members.differing(&digests, SYNC_PAGE));
             }
             Message::Merge(list) => {
+                self.quota().send(quota::Message::ListsCompared);
                 if self.members.merge(now, list) {
                     let far = FarReach::Origin;
                     let actions = self.members.spread_near([], JOIN_FANOUT, JOIN_FANOUT, far);
@@ -298,6 +304,7 @@
                 self.members.announce_service(service, slots);
                 self.spread(FarReach::Origin);
             }
+            Message::FleetSize(hosts) => self.fleet_size = hosts,
             Message::AnnounceLeaving => {
                 self.members.announce_leaving();
                 self.spread(FarReach::Origin);
@@ -341,6 +348,9 @@
         };
         self.last_gossip_at = Some(self.kernel.clock().now());
         self.apply_holds(gossip.holds);
+        if gossip.hosts > 0 {
+            self.quota().send(quota::Message::FleetSize(gossip.hosts));
+        }
         if let Some(load) = gossip.load {
             let router: Mailbox<router::Message> = self.kernel.service(names::ROUTER);
             router.send(router::Message::LoadReported { node: sender.node, load });
@@ -424,7 +434,7 @@
             digest: self.members.digest(),
             load: self.load,
             confirmation: self.freshness.take(self.kernel.clock().now()),
-            hosts: 0,
+            hosts: self.fleet_size,
             evacuation: None,
         };
         let bytes = encode_gossip(&gossip);
@@ -463,9 +473,14 @@
         let configuration: Mailbox<configuration::Message> =
             self.kernel.service(names::CONFIGURATION);
         configuration.send(configuration::Message::MemberCount(count));
+        self.quota().send(quota::Message::MembersChanged);
         self.disconnect_departed();
     }
 
+    fn quota(&self) -> Mailbox<quota::Message> {
+        self.kernel.service(names::QUOTA)
+    }
+
     /// Closes the connections to members that have departed since the last call.
     fn disconnect_departed(&mut self) {
         let is_departed = |member: &&Member| matches!(member.state, State::Lost | State::Left);
