--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -24,6 +24,8 @@
 use self::report::Report;
 use crate::{membership, names, peers};
 
+/// Shortest time between two requests for the list of members, which is long in a large fleet.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a lender's reply is awaited after [`BORROW_TIMEOUT`].
 const LATE_REPLY_LIMIT: Duration = Duration::from_secs(1);
 /// Most tokens of one organisation that a message may name, so that a malformed one does not
@@ -163,17 +165,16 @@
                         .increment(1);
                 }
                 let grants = grants.unwrap_or_default();
-                metrics::gauge!("bronzeport_quota_borrowed_tokens")
-                    .increment(grants.iter().map(|grant| grant.tokens).sum::<f64>());
+                self.report.borrowed(&grants);
                 let actions = self.host.lent(now, &lender, grants);
                 self.execute(now, actions);
             }
         }
     }
 
-    /// Requests the list of members if it has changed, at most once per transfer of credit.
+    /// Requests the list of members if it has changed, at most once per [`LIST_INTERVAL`].
     fn request_members(&mut self, now: Instant) {
-        let is_too_soon = |at: Instant| now.saturating_duration_since(at) < TRANSFER_INTERVAL;
+        let is_too_soon = |at: Instant| now.saturating_duration_since(at) < LIST_INTERVAL;
         if !self.is_list_outdated || self.list_requested_at.is_some_and(is_too_soon) {
             return;
         }
@@ -245,8 +246,7 @@
         let wants: Vec<Want> = wants.collect();
         if request.borrows {
             let grants = self.host.lend(now, &wants);
-            metrics::gauge!("bronzeport_quota_lent_tokens")
-                .increment(grants.iter().map(|grant| grant.tokens).sum::<f64>());
+            self.report.lent(&grants);
             reply.send(to_wire(grants));
             return;
         }
--- a/crates/daemon/src/quota/report.rs
+++ b/crates/daemon/src/quota/report.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use ::quota::{Admission, Host};
+use ::quota::{Admission, Grant, Host};
 
 /// Most organisations that metrics name: those that were refused a request first. The others are
 /// counted together.
@@ -18,6 +18,9 @@
 pub(super) struct Report {
     named: BTreeSet<Box<str>>,
     levels_at: Option<Instant>,
+    /// Tokens since the start. Parts of a token are borrowed too.
+    borrowed: f64,
+    lent: f64,
 }
 
 impl Report {
@@ -37,6 +40,18 @@
         .increment(1);
     }
 
+    /// Counts tokens that other coordinators have lent to this one.
+    pub(super) fn borrowed(&mut self, grants: &[Grant]) {
+        self.borrowed += tokens(grants);
+        metrics::counter!("bronzeport_quota_borrowed_tokens_total").absolute(self.borrowed as u64);
+    }
+
+    /// Counts tokens that this coordinator has lent to others.
+    pub(super) fn lent(&mut self, grants: &[Grant]) {
+        self.lent += tokens(grants);
+        metrics::counter!("bronzeport_quota_lent_tokens_total").absolute(self.lent as u64);
+    }
+
     /// Reports the number of hosts among which quotas are divided.
     pub(super) fn hosts(&self, hosts: Option<u32>) {
         metrics::gauge!("bronzeport_quota_hosts").set(f64::from(hosts.unwrap_or(0)));
@@ -58,3 +73,7 @@
         }
     }
 }
+
+fn tokens(grants: &[Grant]) -> f64 {
+    grants.iter().map(|grant| grant.tokens).sum()
+}
