Quota: an entry visits only the organisations that need tokens

Cause: each message visited the state of every organisation seen in 15 s, several times. With thousands of organisations and a thousand requests a second that is a large part of a core. Change: the entry keeps the names of the organisations with waiting requests and of those with tokens in advance, and removes idle ones once in 15 s.

--- a/crates/quota/src/entry.rs
+++ b/crates/quota/src/entry.rs
@@ -1,6 +1,6 @@
 //! Tokens at an entry, and the requests that wait for some.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use config::Organisation;
@@ -29,7 +29,8 @@
 /// without asking.
 const REPEATED_ASKS_PER_SECOND: f64 = 20.0;
 const REPEATED_ASKS_BURST: f64 = 10.0;
-/// Time without requests after which nothing is kept about an organisation.
+/// Time without requests after which nothing is kept about an organisation, and interval at which
+/// this is checked.
 const IDLE: Duration = Duration::from_secs(15);
 /// Retry-After while no coordinator replies or the coordinator does not know the organisation.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -68,6 +69,12 @@
     /// Requests per second of each organisation with a quota.
     limits: HashMap<Box<str>, f64>,
     organisations: BTreeMap<Box<str>, State>,
+    /// Organisations with requests that wait. Most organisations have none.
+    waiting: BTreeSet<Box<str>>,
+    /// Organisations with enough requests for tokens in advance.
+    frequent: BTreeSet<Box<str>>,
+    /// When the organisations without recent requests were last removed.
+    swept_at: Option<Instant>,
     /// How often the coordinator may be asked again, as of a time.
     repeated_asks: Option<(Instant, f64)>,
 }
@@ -137,6 +144,9 @@
         };
         state.arrivals.add(now, 1.0);
         state.latest.add(now, 1.0);
+        if state.expected(now) >= MIN_AHEAD && !self.frequent.contains(organisation) {
+            self.frequent.insert(organisation.into());
+        }
         state.last_arrival = now;
         if state.waiting.is_empty() && state.spend(now) {
             return Admission::Granted;
@@ -145,25 +155,47 @@
             return Admission::Refused { retry_after: state.next_return(now) };
         }
         let limit = WAIT_LIMIT.min(remaining / WAIT_DIVISOR);
+        if state.waiting.is_empty() {
+            self.waiting.insert(organisation.into());
+        }
         state.waiting.push_back((ticket, now + limit));
         Admission::Pending
     }
 
     /// Whether requests wait for the coordinator's reply.
     pub fn has_waiting(&self) -> bool {
-        self.organisations.values().any(|state| !state.waiting.is_empty())
+        !self.waiting.is_empty()
     }
 
     /// Returns the tokens to ask the coordinator for now: for the requests that wait and for
     /// those expected soon.
     pub fn wants(&mut self, now: Instant) -> Vec<Want> {
-        let is_used = |state: &State| now.saturating_duration_since(state.last_arrival) < IDLE;
-        self.organisations.retain(|_, state| is_used(state) || !state.waiting.is_empty());
-        let wants = self.organisations.iter_mut().map(|(organisation, state)| Want {
-            organisation: organisation.clone(),
-            tokens: state.want(now),
+        self.sweep(now);
+        let mut wants = Vec::new();
+        for organisation in self.waiting.union(&self.frequent) {
+            let Some(state) = self.organisations.get_mut(organisation) else { continue };
+            let tokens = state.want(now);
+            if tokens >= 1.0 {
+                wants.push(Want { organisation: organisation.clone(), tokens });
+            }
+        }
+        let organisations = &mut self.organisations;
+        self.frequent.retain(|organisation| {
+            let state = organisations.get_mut(organisation);
+            state.is_some_and(|state| state.expected(now) >= MIN_AHEAD)
         });
-        wants.filter(|want| want.tokens >= 1.0).collect()
+        wants
+    }
+
+    /// Forgets the organisations without recent requests.
+    fn sweep(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < IDLE;
+        if self.swept_at.is_some_and(is_recent) {
+            return;
+        }
+        self.swept_at = Some(now);
+        self.organisations
+            .retain(|_, state| is_recent(state.last_arrival) || !state.waiting.is_empty());
     }
 
     /// Handles the coordinator's reply to `wants`.
@@ -184,6 +216,9 @@
                 }
             }
             state.decide(now, &mut verdicts);
+            if state.waiting.is_empty() {
+                self.waiting.remove(&want.organisation);
+            }
         }
         verdicts
     }
@@ -192,7 +227,9 @@
     /// longer has a quota.
     pub fn expire(&mut self, now: Instant) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
-        for (organisation, state) in &mut self.organisations {
+        let organisations = &mut self.organisations;
+        self.waiting.retain(|organisation| {
+            let Some(state) = organisations.get_mut(organisation) else { return false };
             let is_limited = self.limits.contains_key(organisation);
             state.waiting.retain(|(ticket, deadline)| {
                 let is_waiting = is_limited && now < *deadline;
@@ -205,7 +242,8 @@
                 }
                 is_waiting
             });
-        }
+            !state.waiting.is_empty()
+        });
         verdicts
     }
 
@@ -221,8 +259,8 @@
 
     /// Returns the time at which the first waiting request has waited too long.
     pub fn next_expiry(&self) -> Option<Instant> {
-        let waiting = self.organisations.values().flat_map(|state| &state.waiting);
-        waiting.map(|(_, deadline)| *deadline).min()
+        let waiting = self.waiting.iter().filter_map(|name| self.organisations.get(name));
+        waiting.flat_map(|state| &state.waiting).map(|(_, deadline)| *deadline).min()
     }
 }
 
@@ -258,11 +296,16 @@
         true
     }
 
+    /// Returns the number of requests expected within [`AHEAD`].
+    fn expected(&mut self, now: Instant) -> f64 {
+        let expected = self.arrivals.per_second(now) * AHEAD.as_secs_f64();
+        expected.min(self.latest.sum(now))
+    }
+
     fn want(&mut self, now: Instant) -> f64 {
         self.asked = self.waiting.len();
         let waiting = self.asked as f64;
-        let expected = self.arrivals.per_second(now) * AHEAD.as_secs_f64();
-        let expected = expected.min(self.latest.sum(now));
+        let expected = self.expected(now);
         let is_scarce =
             self.refused.is_some_and(|refusal| now.saturating_duration_since(refusal.at) < SCARCE);
         let ahead = match expected {
