Quota: lenders of the own data centre first, and at most one round in 100 ms

Cause: with many coordinators a round could follow the last one at once, as some lender was always due; far ones were asked before near ones that had been asked once. Change: rounds are 100 ms apart, near lenders come first. Result: cargo test -p quota -p daemon passes.

--- a/crates/quota/src/coordinator.rs
+++ b/crates/quota/src/coordinator.rs
@@ -15,6 +15,8 @@
 const MIN_CREDIT_SPAN: Duration = Duration::from_millis(250);
 /// Shortest time between two requests to one lender.
 pub(crate) const BORROW_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two rounds. With many lenders, some of them may always be asked.
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which requests wait for a lender's reply. It is below [`crate::REPLY_TIMEOUT`].
 pub const BORROW_TIMEOUT: Duration = Duration::from_millis(100);
 /// Most lenders that are asked at once. With more data centres, different ones are asked in turn.
@@ -49,10 +51,13 @@
     received: Recent,
     /// When credit was last received, and since when without a gap of [`CREDIT_SPAN`].
     credited: Option<(Instant, Instant)>,
+    /// The other coordinators, those of the own data centre in front.
     lenders: Vec<Box<str>>,
+    near: usize,
     /// When each lender was last asked.
     asked: HashMap<Box<str>, Instant>,
     round: Option<Round>,
+    round_at: Option<Instant>,
     /// Organisations for which tokens may be borrowed, by the requests since the last round, and
     /// whether one of them needs some.
     low: BTreeSet<Box<str>>,
@@ -76,8 +81,10 @@
             received: Recent::new(CREDIT_SPAN),
             credited: None,
             lenders: Vec::new(),
+            near: 0,
             asked: HashMap::new(),
             round: None,
+            round_at: None,
             low: BTreeSet::new(),
             is_borrowing_due: false,
             waiting: Vec::new(),
@@ -101,10 +108,14 @@
         }
     }
 
-    /// Replaces the list of the other coordinators, those to be asked first in front.
-    pub fn set_lenders(&mut self, lenders: Vec<Box<str>>) {
+    /// Replaces the lists of the other coordinators: `near` ones in the own data centre, and `far`
+    /// ones, which are asked when the near ones were.
+    pub fn set_lenders(&mut self, near: Vec<Box<str>>, far: Vec<Box<str>>) {
+        self.near = near.len();
+        self.lenders = near;
+        self.lenders.extend(far);
+        let lenders: BTreeSet<&Box<str>> = self.lenders.iter().collect();
         self.asked.retain(|lender, _| lenders.contains(lender));
-        self.lenders = lenders;
     }
 
     /// Returns the part of the fleet's credit that this coordinator receives.
@@ -211,15 +222,12 @@
             }
             self.is_borrowing_due |= urgency >= Urgency::Low;
         }
-        if self.round.is_some() || !self.is_borrowing_due {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < ROUND_INTERVAL;
+        let is_too_soon = self.round.is_some() || self.round_at.is_some_and(is_recent);
+        if is_too_soon || !self.is_borrowing_due {
             return Vec::new();
         }
-        let is_due = |asked: &Instant| now.saturating_duration_since(*asked) >= BORROW_INTERVAL;
-        let due = self.lenders.iter().filter(|lender| self.asked.get(*lender).is_none_or(is_due));
-        let mut lenders: Vec<Box<str>> = due.cloned().collect();
-        // Those that were never asked come first, in their order, then the least recently asked.
-        lenders.sort_by_key(|lender| self.asked.get(lender).copied());
-        lenders.truncate(MAX_LENDERS);
+        let lenders = self.choose_lenders(now);
         if lenders.is_empty() {
             return Vec::new();
         }
@@ -245,6 +253,7 @@
         for lender in &lenders {
             self.asked.insert(lender.clone(), now);
         }
+        self.round_at = Some(now);
         self.round = Some(Round {
             unanswered: lenders.iter().cloned().collect(),
             received: borrowed.iter().map(|want| (want.organisation.clone(), 0.0)).collect(),
@@ -253,6 +262,22 @@
         lenders.into_iter().map(step).collect()
     }
 
+    /// Returns the lenders that may be asked now: near ones first, and of these and of the far ones
+    /// those first that were not asked for the longest time.
+    fn choose_lenders(&self, now: Instant) -> Vec<Box<str>> {
+        let is_due = |asked: &Instant| now.saturating_duration_since(*asked) >= BORROW_INTERVAL;
+        let asked = |lender: &str| self.asked.get(lender).copied();
+        let (near, far) = self.lenders.split_at(self.near);
+        let mut lenders = Vec::new();
+        for group in [near, far] {
+            let due = group.iter().filter(|lender| asked(lender).is_none_or(|at| is_due(&at)));
+            let mut due: Vec<&Box<str>> = due.collect();
+            due.sort_by_key(|lender| asked(lender));
+            lenders.extend(due.into_iter().take(MAX_LENDERS - lenders.len()).cloned());
+        }
+        lenders
+    }
+
     /// Replies to the requests that can be granted in full or for which nothing is on its way.
     fn reply(&mut self, now: Instant) -> Vec<Step> {
         let funds = self.funds(now);
--- a/crates/quota/src/host.rs
+++ b/crates/quota/src/host.rs
@@ -144,11 +144,10 @@
         let local = data_centres.remove(&*self.data_centre).unwrap_or_default();
         self.candidates = rank_candidates(&self.address, &local);
         self.failed.retain(|address, _| self.candidates.contains(address));
-        // Messages within the data centre are cheaper.
-        let mut lenders = list_coordinators(&local);
-        lenders.retain(|lender| *lender != self.address);
-        lenders.extend(data_centres.values().flat_map(|members| list_coordinators(members)));
-        self.coordinator.set_lenders(lenders);
+        let mut near = list_coordinators(&local);
+        near.retain(|lender| *lender != self.address);
+        let far = data_centres.values().flat_map(|members| list_coordinators(members));
+        self.coordinator.set_lenders(near, far.collect());
     }
 
     /// Decides about a request that enters here with `remaining` time until its deadline.
