Evacuate data centres by rows of the store

Operators need to stop all requests to the targets of a data centre; a row `op/evacuate/DATA_CENTRE` had no effect.

The daemons that read the table of the route table now take these rows and their deletions too. `member::Evacuation` keeps the set of the newest era and version and knows when a set that still circulates is out of date; gossip carries the set once an evacuation has been seen. Entries choose no target in an evacuated data centre and refuse a call at once if no other target is left.

--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -55,6 +55,9 @@
     pub read_route_table: Option<ReadTable>,
     /// Key of the store row that holds the route table.
     pub route_table_key: &'static str,
+    /// Prefix of the keys of the rows in the same table that request the evacuation of a data
+    /// centre, whose name is the rest of the key.
+    pub evacuation_prefix: &'static str,
     /// The protocol of the store.
     pub store: StoreProtocol,
 }
@@ -190,6 +193,7 @@
             read_notice: None,
             read_route_table: None,
             route_table_key: "",
+            evacuation_prefix: "",
             store,
         }
     }
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -123,7 +123,11 @@
             let Some(route) =
                 self.wait_for_target(call, deadline, &progress.history, is_first).await
             else {
-                let no_target = || Answer::refusal(Outcome::NotRun, Reason::NoTarget, self.node);
+                let reason = match last.is_none() && self.is_evacuated(call).await {
+                    true => Reason::Evacuated,
+                    false => Reason::NoTarget,
+                };
+                let no_target = || Answer::refusal(Outcome::NotRun, reason, self.node);
                 return progress.conclude(last.unwrap_or_else(no_target));
             };
             let node = route.node;
@@ -161,7 +165,8 @@
     }
 
     /// Chooses a target. Before the first attempt, waits for a limited time if the service
-    /// has no targets, as shortly after a daemon or a service has started.
+    /// has no targets, as shortly after a daemon or a service has started, unless all of them
+    /// are in evacuated data centres.
     async fn wait_for_target(
         &self,
         call: &Call,
@@ -175,7 +180,8 @@
         loop {
             let route = self.choose_target(call, history, is_first).await;
             let is_untried = *history == AttemptHistory::default();
-            if route.is_some() || !is_untried || self.clock.now() >= until {
+            let is_final = route.is_some() || !is_untried || self.clock.now() >= until;
+            if is_final || self.is_evacuated(call).await {
                 return route;
             }
             is_first = false;
@@ -183,6 +189,13 @@
         }
     }
 
+    /// Whether the service of a call has targets, and all of them are in evacuated data centres.
+    async fn is_evacuated(&self, call: &Call) -> bool {
+        let service = call.service.clone();
+        let message = |reply| router::Message::IsEvacuated { service, reply };
+        self.router.request(message).await.unwrap_or(false)
+    }
+
     async fn choose_target(
         &self,
         call: &Call,
@@ -503,7 +516,7 @@
     }
     Some(match answer.reason {
         Reason::Busy => Failure::Busy,
-        Reason::Leaving | Reason::NoTarget => Failure::Leaving,
+        Reason::Leaving | Reason::NoTarget | Reason::Evacuated => Failure::Leaving,
         Reason::Unreachable => Failure::Unreachable,
         Reason::TargetShed => Failure::Shed,
         Reason::Cut => Failure::MayHaveRun,
--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -142,7 +142,12 @@
     let bootstrap_peers = bootstrap_peers.iter().map(|peer| peer.to_string().into()).collect();
     match adapter.read_route_table {
         Some(_) => {
-            let reader = route_table::Reader::new(kernel, mailbox, adapter.route_table_key);
+            let reader = route_table::Reader::new(
+                kernel,
+                mailbox,
+                adapter.route_table_key,
+                adapter.evacuation_prefix,
+            );
             reader.start(join_within);
         }
         None => kernel.start(poll_store(kernel.clone(), mailbox, node, bootstrap_peers)),
--- a/crates/daemon/src/configuration/route_table.rs
+++ b/crates/daemon/src/configuration/route_table.rs
@@ -6,12 +6,15 @@
 //! frozen. Gossip therefore also tells when the store was last read ([`member::Freshness`]).
 //! A daemon that finds this too long ago reads the table itself, whatever the member list says
 //! of the readers.
+//!
+//! The same table names the evacuated data centres, which the membership service passes on.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use kernel::{Kernel, Mailbox};
+use member::{DataCentres, EvacuationRead};
 use store::{Failure, Position, Rows};
 
 use super::Message;
@@ -52,7 +55,7 @@
 /// Interval at which a daemon checks whether it is a feed reader.
 const FEED_READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Most rows that are read from the store's table that holds the route table.
-const MAX_ROWS: usize = 100;
+const MAX_ROWS: usize = 500;
 /// Mean pause of a feed reader after a failed call to the feed.
 const FEED_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -62,6 +65,8 @@
     kernel: Kernel,
     configuration: Mailbox<Message>,
     row: &'static str,
+    /// Prefix of the keys of rows that name evacuated data centres.
+    evacuation_prefix: &'static str,
     /// Position up to which the table has been read.
     position: Rc<Cell<Option<Position>>>,
 }
@@ -76,8 +81,14 @@
 }
 
 impl Reader {
-    pub(super) fn new(kernel: &Kernel, configuration: Mailbox<Message>, row: &'static str) -> Self {
-        Self { kernel: kernel.clone(), configuration, row, position: Rc::default() }
+    pub(super) fn new(
+        kernel: &Kernel,
+        configuration: Mailbox<Message>,
+        row: &'static str,
+        evacuation_prefix: &'static str,
+    ) -> Self {
+        let (kernel, position) = (kernel.clone(), Rc::default());
+        Self { kernel, configuration, row, evacuation_prefix, position }
     }
 
     /// Starts to wait for changes and to watch the time of the last read.
@@ -178,6 +189,7 @@
         match self.request_rows(known, wait).await {
             Ok(rows) => {
                 self.advance(rows.position);
+                self.report_evacuation(&rows, known.is_none());
                 for row in rows.rows.into_iter().filter(|found| *found.key == *self.row) {
                     self.configuration.send(Message::RouteTableRead { text: row.value });
                 }
@@ -215,6 +227,18 @@
         read.unwrap_or(Err(Failure::Down))
     }
 
+    /// Reports the rows of evacuated data centres. `is_whole` says whether the rows are those of
+    /// the whole table, and not the changes since an earlier read.
+    fn report_evacuation(&self, rows: &Rows, is_whole: bool) {
+        let Some(read) = read_evacuation(rows, self.evacuation_prefix, is_whole) else {
+            log::warn!("the table {} has too many rows to find evacuations", self.table());
+            return;
+        };
+        let membership: Mailbox<membership::Message> = self.kernel.service(names::MEMBERSHIP);
+        let at = (rows.position.era, rows.position.version);
+        membership.send(membership::Message::EvacuationRead { at, read });
+    }
+
     /// Moves the position forward. Another call may have moved it further meanwhile.
     fn advance(&self, to: Position) {
         let is_ahead =
@@ -250,6 +274,20 @@
     }
 }
 
+/// Returns what rows say about evacuated data centres; `None` if a list of the whole table may
+/// have been cut off. A row requests an evacuation whatever its value is.
+fn read_evacuation(rows: &Rows, prefix: &str, is_whole: bool) -> Option<EvacuationRead> {
+    let name = |key: &str| key.strip_prefix(prefix).map(Box::from);
+    let written = rows.rows.iter().map(|row| &row.key).chain(&rows.unreadable);
+    let added: DataCentres = written.filter_map(|key| name(key)).collect();
+    if is_whole {
+        let is_cut_off = rows.rows.len() + rows.unreadable.len() >= MAX_ROWS;
+        return (!is_cut_off).then_some(EvacuationRead::All(added));
+    }
+    let removed = rows.deleted.iter().filter_map(|key| name(key)).collect();
+    Some(EvacuationRead::Changes { added, removed })
+}
+
 /// Decides what to do if the store was last read `age` ago. `random` is a number from 0 to 1.
 fn next_step(age: Duration, duty: ReadDuty, random: f64) -> Step {
     let (limit, spread) = match (duty.is_first, duty.earlier < FEED_READERS) {
--- a/crates/daemon/src/configuration/route_table/tests.rs
+++ b/crates/daemon/src/configuration/route_table/tests.rs
@@ -8,6 +8,7 @@
 /// Time limit for a change to be in force, from its acknowledgement.
 const CONFIG_LIMIT: Duration = Duration::from_secs(2);
 const ROW: &str = "op/config";
+const PREFIX: &str = "op/evacuate/";
 
 fn duty(earlier: usize, members: usize) -> ReadDuty {
     ReadDuty { read_at: None, is_first: false, earlier, members }
@@ -78,7 +79,7 @@
         let membership = kernel.register(names::MEMBERSHIP);
         let store: Inbox<storage::Message> = kernel.register(names::STORE);
         let (configuration, installed) = kernel::mailbox();
-        Reader::new(&kernel, configuration, ROW).start(Duration::from_millis(1));
+        Reader::new(&kernel, configuration, ROW, PREFIX).start(Duration::from_millis(1));
         clock.sleep(MEMBERSHIP_SETTLE_TIME).await;
         let read_at = clock.now();
         kernel.start(answer_membership(membership, read_at));
@@ -98,3 +99,35 @@
         }
     });
 }
+
+fn row(key: &str) -> Row {
+    Row { key: key.into(), tag: Tag { era: 1, version: 1 }, value: "".into() }
+}
+
+fn names(names: &[&str]) -> DataCentres {
+    names.iter().map(|name| Box::from(*name)).collect()
+}
+
+/// A row whose text cannot be read requests an evacuation like any other.
+#[test]
+fn rows_with_the_prefix_name_evacuated_data_centres() {
+    let rows = Rows {
+        rows: vec![row(ROW), row("op/evacuate/jed-a")],
+        deleted: vec!["op/evacuate/ruh-a".into(), "op/other".into()],
+        unreadable: vec!["op/evacuate/dmm-a".into()],
+        ..Rows::default()
+    };
+    let added = names(&["dmm-a", "jed-a"]);
+    let all = EvacuationRead::All(added.clone());
+    assert_eq!(read_evacuation(&rows, PREFIX, true), Some(all));
+    let changes = EvacuationRead::Changes { added, removed: names(&["ruh-a"]) };
+    assert_eq!(read_evacuation(&rows, PREFIX, false), Some(changes));
+}
+
+/// Rows beyond the end of a list that was cut off would count as deleted.
+#[test]
+fn a_list_that_may_be_cut_off_says_nothing_about_evacuations() {
+    let rows = Rows { rows: vec![row("op/evacuate/jed-a"); MAX_ROWS], ..Rows::default() };
+    assert_eq!(read_evacuation(&rows, PREFIX, true), None);
+    assert!(read_evacuation(&rows, PREFIX, false).is_some());
+}
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -6,6 +6,7 @@
 
 mod coldness;
 mod duplicates;
+mod evacuation;
 mod job;
 mod rate_limit;
 mod target_state;
@@ -71,6 +72,10 @@
     Holds(Vec<Hold>),
     /// Returns the load.
     Load { reply: Reply<Load> },
+    /// Whether the data centre of this daemon is evacuated.
+    Evacuated(bool),
+    /// The time has come to refuse requests because of an evacuation.
+    EvacuationDue,
     /// Refuse new requests from now on.
     Leave,
     /// Returns the number of requests that wait or run.
@@ -190,6 +195,7 @@
         target_settings: Vec::new(),
         has_settings: false,
         was_cold: false,
+        evacuated_since: None,
         default_connections,
         pace_report: None,
         recent_requesters: RecentRequesters::default(),
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -61,6 +61,8 @@
     pub(super) has_settings: bool,
     /// Whether the target was cold when that was last logged.
     pub(super) was_cold: bool,
+    /// Since when the data centre is known to be evacuated; `None` if it is not.
+    pub(super) evacuated_since: Option<Instant>,
     /// Maximum number of connections to the target by the settings of the daemon, used if
     /// the configuration gives none.
     pub(super) default_connections: u16,
@@ -132,6 +134,8 @@
                 }
             }
             Message::Load { reply } => drop(reply.send(self.load())),
+            Message::Evacuated(is_evacuated) => self.set_evacuated(is_evacuated),
+            Message::EvacuationDue => self.refuse_evacuated(),
             Message::Leave => self.controller.leave(),
             Message::CountJobs { reply } => drop(reply.send(self.jobs.len())),
             Message::State { reply } => {
@@ -205,6 +209,9 @@
         if is_known || request.recall_only {
             return None;
         }
+        if self.is_evacuated(now) {
+            return not_run(Reason::Evacuated, Duration::ZERO);
+        }
         if self.target.is_none() {
             return not_run(Reason::NoTarget, Duration::ZERO);
         }
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,7 +7,10 @@
 use admit::Hold;
 use futures_lite::FutureExt;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use member::{Action, Freshness, GossipQueue, Kind, Member, Members, State};
+use member::{
+    Action, Evacuation, EvacuationRead, Freshness, GossipQueue, Kind, Member, Members, State,
+    StorePosition,
+};
 use route::{Load, Node};
 use store::{CommitResult, Condition, Era, Write};
 use tokio::net::UdpSocket;
@@ -90,6 +93,8 @@
     Merge(Vec<Member>),
     /// This revision is in force on the local node.
     Revision(u64),
+    /// The local node has read the rows of evacuated data centres, up to this position.
+    EvacuationRead { at: StorePosition, read: EvacuationRead },
     /// Spreads holds, which result from crashes, to all members.
     SpreadHolds(Vec<Hold>),
     /// The load of the local target has changed considerably. The nodes in `requesters`,
@@ -156,6 +161,7 @@
         hold_budget_used_until: kernel.clock().now(),
         load: None,
         freshness: Freshness::default(),
+        evacuation: Evacuation::default(),
         last_gossip_at: None,
         departed: HashSet::new(),
     };
@@ -177,6 +183,7 @@
     hold_budget_used_until: Instant,
     load: Option<Load>,
     freshness: Freshness,
+    evacuation: Evacuation,
     last_gossip_at: Option<Instant>,
     departed: HashSet<Node>,
 }
@@ -255,6 +262,11 @@
                 self.revision = self.revision.max(revision);
                 self.spread();
             }
+            Message::EvacuationRead { at, read } => {
+                if self.evacuation.apply_read(at, read) {
+                    self.spread_evacuation();
+                }
+            }
             Message::SpreadHolds(holds) => {
                 self.holds.insert_new(holds);
                 self.spread_holds(now);
@@ -300,6 +312,11 @@
         };
         self.last_gossip_at = Some(self.kernel.clock().now());
         self.apply_holds(gossip.holds);
+        if let Some(wire::Evacuation { era, version, data_centres }) = gossip.evacuation
+            && self.evacuation.learn((era, version), data_centres.into_iter().collect())
+        {
+            self.spread_evacuation();
+        }
         if let Some(load) = gossip.load {
             let router: Mailbox<router::Message> = self.kernel.service(names::ROUTER);
             router.send(router::Message::LoadReported { node: sender.node, load });
@@ -348,6 +365,20 @@
         self.spread();
     }
 
+    /// Reports the evacuated data centres to the other services and to some members.
+    fn spread_evacuation(&mut self) {
+        let data_centres = self.evacuation.data_centres();
+        let listed: Vec<&str> = data_centres.iter().map(|name| &**name).collect();
+        log::info!("evacuated data centres: [{}]", listed.join(" "));
+        metrics::gauge!("bronzeport_evacuated_data_centres").set(listed.len() as f64);
+        let guard: Mailbox<guard::Message> = self.kernel.service(names::GUARD);
+        let is_local = data_centres.contains(&self.members.local().data_centre);
+        guard.send(guard::Message::Evacuated(is_local));
+        let router: Mailbox<router::Message> = self.kernel.service(names::ROUTER);
+        router.send(router::Message::Evacuated(data_centres.clone()));
+        self.spread();
+    }
+
     /// Passes the latest read of the store on, unless enough other datagrams have carried it.
     fn forward_confirmation(&mut self) {
         if self.freshness.has_pending() {
@@ -384,7 +415,11 @@
             load: self.load,
             confirmation: self.freshness.take(self.kernel.clock().now()),
             hosts: 0,
-            evacuation: None,
+            evacuation: self.evacuation.position().map(|(era, version)| wire::Evacuation {
+                era,
+                version,
+                data_centres: self.evacuation.data_centres().iter().cloned().collect(),
+            }),
         };
         let bytes = encode_gossip(&gossip);
         metrics::counter!("bronzeport_gossip_sent_bytes_total").increment(bytes.len() as u64);
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -7,7 +7,7 @@
 use admit::{Hold, HoldTracker};
 use config::Service;
 use kernel::{Inbox, Kernel, Mailbox, Reply};
-use member::Member;
+use member::{DataCentres, Member};
 use route::{
     AttemptHistory, AttemptId, AttemptResult, Budget, BudgetShares, Budgets, Call, Choice, Load,
     Node, Policy, Pool, RetryContext, RetryDecision, Target, decide_retry, pick_subset,
@@ -75,6 +75,10 @@
     Holds(Vec<Hold>),
     /// All members, each with the round-trip time to its data centre.
     Members(Vec<(Member, Duration)>),
+    /// Names of the evacuated data centres, whose targets get no requests.
+    Evacuated(DataCentres),
+    /// Returns whether the service has targets, and all of them are in evacuated data centres.
+    IsEvacuated { service: Box<str>, reply: Reply<bool> },
     /// All services of the configuration in force.
     Services(Vec<Rc<Service>>),
     /// Names of the services that the route table leads to.
@@ -112,6 +116,7 @@
         transfer_cost: settings.transfer_cost,
         random: fastrand::Rng::with_seed(seed),
         members: HashMap::new(),
+        evacuated: DataCentres::new(),
         pools: HashMap::new(),
         services: HashMap::new(),
         routed_services: Vec::new(),
@@ -139,6 +144,7 @@
     transfer_cost: f64,
     random: fastrand::Rng,
     members: HashMap<Node, (Member, Duration)>,
+    evacuated: DataCentres,
     pools: HashMap<Box<str>, Pool>,
     services: HashMap<Box<str>, Rc<Service>>,
     routed_services: Vec<Box<str>>,
@@ -225,6 +231,17 @@
                 }
             }
             Message::Members(members) => self.set_members(members),
+            Message::Evacuated(data_centres) => {
+                self.evacuated = data_centres;
+                self.update_targets();
+            }
+            Message::IsEvacuated { service, reply } => {
+                let mut serving = self.serving(&service).peekable();
+                let has_targets = serving.peek().is_some();
+                let is_evacuated =
+                    has_targets && serving.all(|(member, _)| self.is_evacuated(member));
+                reply.send(is_evacuated);
+            }
             Message::Services(services) => self.set_services(services),
             Message::RoutedServices(routed_services) => {
                 self.routed_services = routed_services;
@@ -316,9 +333,18 @@
         }
     }
 
-    fn targets(&self, service: &str) -> Vec<Target> {
+    /// The members that serve a service, whether or not their data centre is evacuated.
+    fn serving(&self, service: &str) -> impl Iterator<Item = &(Member, Duration)> {
         let members = self.members.values();
-        let serving = members.filter(|(m, _)| *m.service == *service && m.state.takes_calls());
+        members.filter(move |(m, _)| *m.service == *service && m.state.takes_calls())
+    }
+
+    fn is_evacuated(&self, member: &Member) -> bool {
+        self.evacuated.contains(&member.data_centre)
+    }
+
+    fn targets(&self, service: &str) -> Vec<Target> {
+        let serving = self.serving(service).filter(|(member, _)| !self.is_evacuated(member));
         let targets = serving.map(|(member, rtt)| Target {
             node: member.node,
             rtt: *rtt,
@@ -331,6 +357,10 @@
     fn set_members(&mut self, members: Vec<(Member, Duration)>) {
         let members = members.into_iter().map(|(member, rtt)| (member.node, (member, rtt)));
         self.members = members.collect();
+        self.update_targets();
+    }
+
+    fn update_targets(&mut self) {
         let services: Vec<Box<str>> = self.pools.keys().cloned().collect();
         for service in services {
             let targets = self.targets(&service);
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -30,6 +30,7 @@
 mod confirmation;
 mod detect;
 mod digest;
+mod evacuation;
 mod gossip_queue;
 mod members;
 mod peer;
@@ -39,6 +40,7 @@
 pub use confirmation::{Confirmation, Freshness};
 pub use detect::{Action, Kind, Message, UnknownKind};
 pub use digest::BUCKETS;
+pub use evacuation::{DataCentres, Evacuation, EvacuationRead, StorePosition};
 pub use gossip_queue::GossipQueue;
 pub use members::Members;
 pub use peer::{Absence, Member, State, UnknownState};
