--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -9,6 +9,7 @@
 //! | `run MS ID CALLER DEADLINE` | a request has begun to run |
 //! | `ran MS ID` | a request has run to its end |
 //! | `limit MS RATE` | the target accepts this rate from now on; `null`: any rate |
+//! | `cold MS REMAINING` | the target is cold for this number of milliseconds |
 //! | `check MS` | the health page was requested while the target limits the rate |
 //! | `acked MS` | the daemon has acknowledged that this target is leaving |
 
@@ -67,6 +68,8 @@
     rate_limit: Cell<Option<f64>>,
     /// Whether the health page names the accepted rate too.
     is_limit_on_page: Cell<bool>,
+    /// Unix time in milliseconds until which the target is cold.
+    cold_until: Cell<u64>,
     random: RefCell<fastrand::Rng>,
 }
 
@@ -88,6 +91,7 @@
         states_leaving: Cell::new(false),
         rate_limit: Cell::new(None),
         is_limit_on_page: Cell::new(true),
+        cold_until: Cell::new(0),
         random: RefCell::new(fastrand::Rng::with_seed(settings.seed)),
         settings,
     });
@@ -136,7 +140,7 @@
             "status": {
                 "state": if is_leaving { "draining" } else { "ready" },
                 "sequence": sequence,
-                "cold_remaining": "0ms",
+                "cold_remaining": format!("{}ms", self.cold_remaining()),
             },
         });
         Request::builder()
@@ -147,6 +151,11 @@
             .expect("a valid request")
     }
 
+    /// Milliseconds for which the target is still cold.
+    fn cold_remaining(&self) -> u64 {
+        self.cold_until.get().saturating_sub(unix_millis())
+    }
+
     async fn handle(self: Rc<Self>, request: IncomingRequest) -> Response<Bytes> {
         let head = request.head;
         let body = request.body.unwrap_or_default();
@@ -164,6 +173,10 @@
                 false => StatusCode::OK,
             };
             let mut response = self.answer(status, "", Bytes::new());
+            if self.cold_remaining() > 0 {
+                let remaining = HeaderValue::from(self.cold_remaining());
+                response.headers_mut().insert("bronzeport-cold-ms", remaining);
+            }
             if !self.is_limit_on_page.get() {
                 response.headers_mut().remove("server-limit");
             }
@@ -241,6 +254,10 @@
             self.rate_limit.set(limit.as_f64());
             print_line(&format!("limit {} {limit}", unix_millis()));
         }
+        if let Some(remaining) = value["cold_ms"].as_u64() {
+            self.cold_until.set(unix_millis() + remaining);
+            print_line(&format!("cold {} {remaining}", unix_millis()));
+        }
         if let Some(is_on_page) = value["limit_on_page"].as_bool() {
             self.is_limit_on_page.set(is_on_page);
         }
