Web, wire: reject answers without a valid final status

Cause: hyper takes any status of three digits from 100 to 999 as an answer. A failing target's 101 and 600 to 999 went to the caller, with headers and body (101 without its body), and a health page with such a status counted as an answer (read in the code, not run). An entry took any 16-bit status from the guard of another daemon: 0 with the outcome "ran" became an answer of the daemon itself, and a status that is none became 502 with the target's headers and body.

Change: `web::Client` takes 200 to 599 as a final answer and closes the connection otherwise (`ClientError::InvalidStatus`, counted and logged). The guard reports such an attempt as cut, so that a request that may run again is retried and any other gets 502. `wire` fails a call whose answer has another status, or none without a reason.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -61,7 +61,7 @@
 /// Converts the final answer into the response to the caller.
 pub(crate) fn write_response(final_answer: &FinalAnswer) -> Response<Bytes> {
     let answer = &final_answer.answer;
-    let is_from_target = answer.status != 0;
+    let is_from_target = answer.is_from_target();
     let body = match is_from_target {
         true => answer.body.clone(),
         false => Bytes::copy_from_slice(final_answer.text.as_bytes()),
@@ -107,6 +107,7 @@
         Reason::UnknownKey => StatusCode::UNAUTHORIZED,
         Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         Reason::Unreachable if outcome == Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        Reason::None if outcome != Outcome::NotRun => StatusCode::BAD_GATEWAY,
         Reason::None
         | Reason::Busy
         | Reason::Late
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -27,7 +27,7 @@
     /// The target did not receive the request.
     Unreachable,
     /// The connection was lost while the target still accepts connections, or the answer
-    /// belongs to another request.
+    /// belongs to another request or has no valid status.
     Cut,
     /// The connection was lost and the target no longer accepts connections.
     Crashed,
@@ -111,6 +111,10 @@
                 self.report_mismatch("health check", "");
                 HealthCheckResult::NoAnswer
             }
+            Ok(Err(ClientError::InvalidStatus)) => {
+                self.report_invalid_status("health check", "");
+                HealthCheckResult::NoAnswer
+            }
             Ok(Err(ClientError::ConnectionLost | ClientError::TooLarge)) | Err(_) => {
                 HealthCheckResult::NoAnswer
             }
@@ -129,6 +133,18 @@
         );
     }
 
+    /// Logs and counts an answer without a valid status. Its connection is closed.
+    fn report_invalid_status(&self, exchange: &'static str, id: &str) {
+        metrics::counter!("bronzeport_target_invalid_statuses_total", "exchange" => exchange)
+            .increment(1);
+        log::warn!(
+            target: "daemon::guard::belief",
+            "an answer of the target {} to a {exchange} {id} has no valid status; its connection \
+             is closed",
+            self.identity.instance
+        );
+    }
+
     /// Sends a request to the target and waits for the result.
     pub(crate) async fn run(&self, request: &Request, remaining: Duration) -> RunResult {
         let Some(message) = (self.adapter.write_request)(request, remaining, &self.identity) else {
@@ -152,6 +168,10 @@
                 self.report_mismatch("request", &request.id);
                 RunResult::Cut
             }
+            Err(ClientError::InvalidStatus) => {
+                self.report_invalid_status("request", &request.id);
+                RunResult::Cut
+            }
             Err(ClientError::ConnectionLost) => match self.client.is_alive().await {
                 true => RunResult::Cut,
                 false => RunResult::Crashed,
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -274,7 +274,10 @@
             Ok(Ok(response)) => self.receive(response),
             Ok(Err(ClientError::NotSent)) => Err(CallError::NotSent),
             Ok(Err(
-                ClientError::ConnectionLost | ClientError::TooLarge | ClientError::MismatchedAnswer,
+                ClientError::ConnectionLost
+                | ClientError::TooLarge
+                | ClientError::MismatchedAnswer
+                | ClientError::InvalidStatus,
             ))
             | Err(_) => Err(CallError::Lost),
         };
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,9 @@
 /// Most bytes that are read between a request and the end of the head of its answer. Interim
 /// answers (1xx) count too, which may otherwise follow each other without end.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Statuses that a final answer may have. Interim answers (1xx) are skipped, except 101, which
+/// is the answer to an upgrade that this client never requests.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// HTTP client for one address. Clones share its connections.
 #[derive(Debug, Clone)]
@@ -81,6 +85,9 @@
     /// The answer belongs to another request, such as a duplicate answer to an earlier
     /// request on the same connection.
     MismatchedAnswer,
+    /// The status of the answer is not valid for a final answer. Statuses that are not three
+    /// digits, or are below 100, count as [`ClientError::ConnectionLost`].
+    InvalidStatus,
 }
 
 #[derive(Debug)]
@@ -258,6 +265,9 @@
         accepts_head: impl Fn(&HeaderMap) -> bool,
     ) -> Result<Response<Bytes>, ClientError> {
         let (head, body) = response.into_parts();
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(ClientError::InvalidStatus);
+        }
         if !accepts_head(&head.headers) {
             return Err(ClientError::MismatchedAnswer);
         }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -11,7 +11,9 @@
 
 use crate::Error;
 use crate::bronzeport_capnp as schema;
-use crate::message::{Answer, Changes, Header, QuotaGrant, QuotaRequest, QuotaWant, Request};
+use crate::message::{
+    Answer, Changes, Header, Outcome, QuotaGrant, QuotaRequest, QuotaWant, Reason, Request,
+};
 
 pub(crate) fn text_of(reader: capnp::Result<text::Reader<'_>>) -> Result<Box<str>, Error> {
     Ok(reader?.to_str()?.into())
@@ -93,7 +95,7 @@
 }
 
 pub(crate) fn read_answer(from: schema::answer::Reader<'_>) -> Result<Answer, Error> {
-    Ok(Answer {
+    let answer = Answer {
         outcome: from.get_outcome()?,
         reason: from.get_reason()?,
         status: from.get_status(),
@@ -103,7 +105,14 @@
         retry_after: Duration::from_millis(from.get_retry_after_millis().into()),
         node: from.get_node(),
         service_time: Duration::from_micros(from.get_service_micros().into()),
-    })
+    };
+    // A request that has run has the status of its target's answer, or a reason for having none.
+    let is_without_status =
+        answer.status == 0 && (answer.outcome != Outcome::Ran || answer.reason != Reason::None);
+    match answer.is_from_target() || is_without_status {
+        true => Ok(answer),
+        false => Err(Error::failed(format!("the answer has the status {}", answer.status))),
+    }
 }
 
 fn write_headers(mut to: capnp::struct_list::Builder<'_, schema::header::Owned>, from: &[Header]) {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -82,7 +82,7 @@
     pub outcome: Outcome,
     /// Why there is no answer from a target.
     pub reason: Reason,
-    /// HTTP status of the target's answer.
+    /// HTTP status of the target's answer; 0 if no target answered.
     pub status: u16,
     /// Headers of the target's answer.
     pub headers: Vec<Header>,
@@ -99,6 +99,11 @@
 }
 
 impl Answer {
+    /// Whether the answer comes from a target: its status is valid in a final answer.
+    pub fn is_from_target(&self) -> bool {
+        (200..=599).contains(&self.status)
+    }
+
     /// Creates an answer to a request that has no answer from a target.
     pub fn refusal(outcome: Outcome, reason: Reason, node: Node) -> Self {
         Self {
