Route, daemon: hedges within an operator's limit

Cause: for services of the route table the share of hedges was a constant (1%) and their delay one multiple of the kind's nominal time, so operators could neither spend more to shorten the tail nor switch hedges off, and kinds whose times spread widely used up the share.

With it the pool learns the response times of each kind (hdrhistogram, at most 64 kinds, old answers lose weight) and takes the delay with the lowest expected p99 under the share; sends no hedge while the targets near enough use 80% of their slots or none has a free slot; pays very late hedges from the same budget; and keeps retries and hedges together at 4% of the calls at each entry, today's sum. `HedgeLimit::max_rtt` is for the locality setting; it is unlimited here.

--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -65,7 +65,7 @@
     // Of lines with equal times, a send comes before its effects on other nodes, and
     // the line about the answer comes after them.
     let tie_rank = |line: &Line| match (&*line.event, is_entry(line)) {
-        ("answered" | "failed" | "ended" | "left", true) => 2,
+        ("answered" | "failed" | "hedge-ended" | "ended" | "left", true) => 2,
         (_, true) => 0,
         (_, false) => 1,
     };
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -10,8 +10,8 @@
 use wire::{Answer, Outcome, Reason, Request};
 
 use crate::call::Call;
-use crate::journal::{self, Event};
-use crate::router::Route;
+use crate::journal::{self, Event, HedgeCause};
+use crate::router::{HedgePlan, Route};
 use crate::{guard, headers, names, peers, router};
 
 /// Margin by which the deadline sent to a guard is earlier than the call's deadline. A
@@ -220,19 +220,17 @@
         progress: &mut Progress,
     ) -> Option<Answer> {
         let crashes = progress.crashes as u8;
-        let hedge_after =
-            route.hedge_after.filter(|_| call.is_repeatable() && call.depth < HEDGING_LAYERS);
-        let hedge_after =
-            hedge_after.filter(|_| progress.targets_reached + 2 <= call.settings.max_attempts);
+        let hedge = route.hedge.filter(|_| call.is_repeatable() && call.depth < HEDGING_LAYERS);
+        let hedge = hedge.filter(|_| progress.targets_reached + 2 <= call.settings.max_attempts);
         let node = route.node;
         let may_queue = route.may_queue;
         self.record(call, Event::Sent { to: node, may_queue, estimate: route.estimate });
         let first = self.send(call, deadline, claim_tag, route, crashes);
         let with_hedge = async {
-            let Some(hedge_after) = hedge_after else {
+            let Some(hedge) = hedge else {
                 return first.await;
             };
-            self.hedge(call, deadline, hedge_after, first, node, progress).await
+            self.hedge(call, deadline, hedge, first, node, progress).await
         };
         let remaining = deadline.saturating_duration_since(self.clock.now());
         self.clock.timeout(remaining, with_hedge).await.ok()
@@ -240,19 +238,23 @@
 
     /// Waits for the first attempt, and sends a second one if the first is late. The first
     /// usable answer is returned and the other attempt is cancelled. If the hedge budget has
-    /// no token, the call is hedged from the retry budget when the answer is very late.
+    /// no token, the call is hedged from the retry budget when the answer is very late, or,
+    /// under an operator's limit, from the hedge budget.
     async fn hedge(
         &self,
         call: &Call,
         deadline: Instant,
-        hedge_after: Duration,
+        plan: HedgePlan,
         first: impl Future<Output = Answer>,
         first_node: Node,
         progress: &mut Progress,
     ) -> Answer {
+        let first_sent_at = self.clock.now();
         let mut first = Box::pin(first);
-        for (wait, is_very_late) in [(hedge_after, false), (hedge_after * VERY_LATE_FACTOR, true)] {
-            if is_very_late && call.depth > 0 {
+        for (wait, cause) in
+            [(plan.after, HedgeCause::Late), (plan.after * VERY_LATE_FACTOR, HedgeCause::VeryLate)]
+        {
+            if cause == HedgeCause::VeryLate && call.depth > 0 && !plan.is_limited {
                 break;
             }
             let timer = Box::pin(self.clock.sleep(wait));
@@ -260,17 +262,31 @@
                 Either::Left((answer, _)) => return answer,
                 Either::Right(((), first)) => first,
             };
-            let Some(route) =
-                self.choose_hedge_target(call, progress, first_node, is_very_late).await
+            let Some(route) = self.choose_hedge_target(call, progress, first_node, cause).await
             else {
                 continue;
             };
+            let hedge_sent_at = self.clock.now();
+            let counter = match cause {
+                HedgeCause::VeryLate if !plan.is_limited => "bronzeport_retries_total",
+                _ => "bronzeport_hedges_total",
+            };
+            metrics::counter!(counter).increment(1);
+            let after_ms = hedge_sent_at - first_sent_at;
+            let to = route.node;
+            self.record(call, Event::Hedged { to, cause, after_ms, estimate: route.estimate });
             let crashes = progress.crashes as u8;
             let second = Box::pin(self.send(call, deadline, "", route, crashes));
-            return match select(first, second).await {
+            let answer = match select(first, second).await {
                 Either::Left((answer, pending)) => better_answer(answer, pending).await,
                 Either::Right((answer, pending)) => better_answer(answer, pending).await,
             };
+            let (loser, loser_sent_at) = match answer.node == to {
+                true => (first_node, first_sent_at),
+                false => (to, hedge_sent_at),
+            };
+            self.record_hedge_end(call, answer.node == to, loser, loser_sent_at);
+            return answer;
         }
         first.await
     }
@@ -280,25 +296,30 @@
         call: &Call,
         progress: &mut Progress,
         first: Node,
-        is_very_late: bool,
+        cause: HedgeCause,
     ) -> Option<Route> {
         let service = call.service.clone();
         let tried = [&progress.history.reached[..], &progress.history.refused, &[first]].concat();
         let routing = routing_call(call);
+        let is_very_late = cause == HedgeCause::VeryLate;
         let message =
             |reply| router::Message::Hedge { service, call: routing, tried, is_very_late, reply };
         let route = self.router.request(message).await.flatten()?;
-        let counter = match is_very_late {
-            true => "bronzeport_retries_total",
-            false => "bronzeport_hedges_total",
-        };
-        metrics::counter!(counter).increment(1);
-        self.record(call, Event::Hedged { to: route.node, estimate: route.estimate });
         progress.history.reached.push(route.node);
         progress.targets_reached += 1;
         Some(route)
     }
 
+    /// Records which of two concurrent attempts was answered, and the time spent on the other.
+    fn record_hedge_end(&self, call: &Call, hedge_won: bool, loser: Node, loser_sent_at: Instant) {
+        let wasted = self.clock.now() - loser_sent_at;
+        if hedge_won {
+            metrics::counter!("bronzeport_hedges_won_total").increment(1);
+        }
+        metrics::counter!("bronzeport_hedge_wasted_ms_total").increment(wasted.as_millis() as u64);
+        self.record(call, Event::HedgeEnded { hedge_won, loser, wasted_ms: wasted });
+    }
+
     /// Sends a call to one guard and reports the result to the router.
     async fn send(
         &self,
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -14,7 +14,9 @@
 use kernel::{Inbox, Kernel, Reply};
 use route::Node;
 
-pub(crate) use event::{ARRIVED, Event, GuardState, TargetEstimate, outcome_text, reason_text};
+pub(crate) use event::{
+    ARRIVED, Event, GuardState, HedgeCause, TargetEstimate, outcome_text, reason_text,
+};
 
 use crate::{logs, names};
 use event::RequestState;
--- a/crates/daemon/src/journal/event.rs
+++ b/crates/daemon/src/journal/event.rs
@@ -37,6 +37,16 @@
     pub(crate) rate_limit: Option<f64>,
 }
 
+/// Why a hedge was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum HedgeCause {
+    /// The answer is among the slowest of its kind.
+    Late,
+    /// The answer takes three times as long as that.
+    VeryLate,
+}
+
 /// An event of a request.
 #[derive(Debug, Clone, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -63,9 +73,23 @@
     Hedged {
         #[serde(serialize_with = "write_hex")]
         to: Node,
+        cause: HedgeCause,
+        /// Time since the first attempt was sent.
+        #[serde(serialize_with = "write_millis")]
+        after_ms: Duration,
         #[serde(flatten)]
         estimate: TargetEstimate,
     },
+    /// One of two concurrent attempts was answered, and the other one was cancelled or had
+    /// failed.
+    HedgeEnded {
+        hedge_won: bool,
+        #[serde(serialize_with = "write_hex")]
+        loser: Node,
+        /// Time from sending the other attempt until now.
+        #[serde(serialize_with = "write_millis")]
+        wasted_ms: Duration,
+    },
     /// An attempt returned no answer from a target.
     Failed {
         #[serde(serialize_with = "write_hex")]
@@ -194,7 +218,20 @@
             Self::Sent { to, may_queue: false, estimate } => {
                 format!("sent to {to:016x}, {}", estimate.text())
             }
-            Self::Hedged { to, estimate } => format!("hedged at {to:016x}, {}", estimate.text()),
+            Self::Hedged { to, cause, after_ms, estimate } => {
+                let cause = match cause {
+                    HedgeCause::Late => "late",
+                    HedgeCause::VeryLate => "very late",
+                };
+                format!(
+                    "hedged at {to:016x} because the answer was {cause} after {after_ms:.1?}, {}",
+                    estimate.text()
+                )
+            }
+            Self::HedgeEnded { hedge_won, loser, wasted_ms } => {
+                let winner = if *hedge_won { "hedge" } else { "first attempt" };
+                format!("the {winner} won, {loser:016x} ended after {wasted_ms:.1?}")
+            }
             Self::Failed { from, reason, outcome } => {
                 format!(
                     "no answer from {from:016x}: {} ({})",
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,8 +9,9 @@
 use kernel::{Inbox, Kernel, Mailbox, Reply};
 use member::Member;
 use route::{
-    AttemptHistory, AttemptId, AttemptResult, Budget, BudgetShares, Budgets, Call, Choice, Load,
-    Node, Policy, Pool, RetryContext, RetryDecision, Target, decide_retry, pick_subset,
+    AttemptHistory, AttemptId, AttemptResult, Budget, BudgetShares, Budgets, Call, Choice, Failure,
+    HedgeDecision, HedgeLimit, HedgeRefusal, Load, Node, Policy, Pool, RetryContext, RetryDecision,
+    Target, decide_retry, pick_subset,
 };
 
 use crate::journal::TargetEstimate;
@@ -24,6 +25,10 @@
 /// that a repeated request makes.
 const ROUTE_TABLE_SHARES: BudgetShares =
     BudgetShares { probes: 0.0, retries: 0.03, hedges: 0.01, burst: 2.0 };
+/// Maximum share of retries and hedges together, as in [`ROUTE_TABLE_SHARES`], which holds also
+/// if an operator allows more hedges. An entry does not know the depth of a call in its chain,
+/// so the share must be allowed at each depth: five times 0.04 is the platform's limit of 0.2.
+const ROUTE_TABLE_TOTAL_SHARE: f64 = 0.04;
 /// Interval at which load reports are polled under the two-choices policy.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -46,7 +51,8 @@
         /// Properties of the call that the choice depends on.
         call: Call,
         tried: Vec<Node>,
-        /// Whether the answer is very late, so that the retry budget pays for the hedge.
+        /// Whether the answer is very late, so that the retry budget pays for the hedge unless
+        /// an operator's limit applies.
         is_very_late: bool,
         reply: Reply<Option<Route>>,
     },
@@ -94,8 +100,16 @@
     pub(crate) may_queue: bool,
     /// Estimate of the target at the time of the choice.
     pub(crate) estimate: TargetEstimate,
-    /// Time after which a hedge is sent; `None` if the policy does not hedge.
-    pub(crate) hedge_after: Option<Duration>,
+    /// When a hedge is sent; `None` if there are no hedges.
+    pub(crate) hedge: Option<HedgePlan>,
+}
+
+/// When a hedge is sent beside an attempt.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HedgePlan {
+    pub(crate) after: Duration,
+    /// Whether an operator's limit applies, which also covers hedges of very late answers.
+    pub(crate) is_limited: bool,
 }
 
 /// Starts the service.
@@ -110,6 +124,10 @@
         policy,
         data_centre: settings.data_centre.clone(),
         transfer_cost: settings.transfer_cost,
+        hedge_limit: settings.hedge_share.map(|share| HedgeLimit {
+            share: share.min(ROUTE_TABLE_TOTAL_SHARE),
+            max_rtt: Duration::MAX,
+        }),
         random: fastrand::Rng::with_seed(seed),
         members: HashMap::new(),
         pools: HashMap::new(),
@@ -137,6 +155,8 @@
     data_centre: Box<str>,
     /// Cost of transferring one megabyte between data centres, as time in seconds.
     transfer_cost: f64,
+    /// The operator's limit on hedges for the services of the route table.
+    hedge_limit: Option<HedgeLimit>,
     random: fastrand::Rng,
     members: HashMap<Node, (Member, Duration)>,
     pools: HashMap<Box<str>, Pool>,
@@ -160,6 +180,27 @@
     }
 }
 
+fn route_table_shares(limit: Option<HedgeLimit>) -> BudgetShares {
+    let hedges = limit.map_or(ROUTE_TABLE_SHARES.hedges, |limit| limit.share);
+    BudgetShares { hedges, ..ROUTE_TABLE_SHARES }
+}
+
+fn apply_hedge_limit(pool: &mut Pool, limit: Option<HedgeLimit>) {
+    if let Some(limit) = limit {
+        pool.budgets.set_total(ROUTE_TABLE_TOTAL_SHARE);
+        pool.set_hedge_limit(limit);
+    }
+}
+
+fn count_hedge_refusal(refusal: HedgeRefusal) {
+    let reason = match refusal {
+        HedgeRefusal::ServiceFull => "service-full",
+        HedgeRefusal::NoFreeSlot => "no-free-slot",
+        HedgeRefusal::Budget => "budget",
+    };
+    metrics::counter!("bronzeport_hedges_refused_total", "reason" => reason).increment(1);
+}
+
 fn budget_shares(service: &Service) -> BudgetShares {
     BudgetShares {
         probes: service.probe_share,
@@ -188,7 +229,15 @@
                 self.begin_attempt(now, service, route, &call, reply);
             }
             Message::Hedge { service, call, tried, is_very_late, reply } => {
-                let node = self.pool(&service).decide_hedge(now, &tried, &call, is_very_late);
+                let pool = self.pool(&service);
+                let node = match pool.decide_hedge_within_limit(now, &tried, &call) {
+                    None => pool.decide_hedge(now, &tried, &call, is_very_late),
+                    Some(HedgeDecision::Send(node)) => Some(node),
+                    Some(HedgeDecision::Refuse(refusal)) => {
+                        count_hedge_refusal(refusal);
+                        None
+                    }
+                };
                 let route = node.map(|node| (node, false));
                 self.begin_attempt(now, service, route, &call, reply);
             }
@@ -203,8 +252,13 @@
                 }
             }
             Message::Retry { service, context, reply } => {
-                let budget = &mut self.pool(&service).budgets.retries;
-                reply.send(decide_retry(context, budget));
+                let budgets = &mut self.pool(&service).budgets;
+                let decision = decide_retry(context, &mut budgets.retries);
+                let is_redirect = matches!(context.failure, Failure::Busy | Failure::Leaving);
+                if decision == RetryDecision::AnotherTarget && !is_redirect {
+                    budgets.charge_retry();
+                }
+                reply.send(decision);
             }
             Message::Probed { service, node, load } => {
                 self.pool(&service).observe_load(now, node, load);
@@ -230,7 +284,8 @@
                 self.routed_services = routed_services;
                 let pools = self.pools.iter_mut();
                 for (_, pool) in pools.filter(|(name, _)| self.routed_services.contains(name)) {
-                    pool.budgets.set_shares(ROUTE_TABLE_SHARES);
+                    pool.budgets.set_shares(route_table_shares(self.hedge_limit));
+                    apply_hedge_limit(pool, self.hedge_limit);
                 }
             }
             Message::Address { node, reply } => {
@@ -286,7 +341,10 @@
                 estimate: observe_prediction(prediction),
                 attempt,
                 may_queue,
-                hedge_after: hedges.then(|| pool.hedge_after(call)),
+                hedge: pool
+                    .hedge_delay(call)
+                    .filter(|_| hedges)
+                    .map(|after| HedgePlan { after, is_limited: pool.has_hedge_limit() }),
             })
         });
         let begun = route.as_ref().map(|route| (route.node, route.attempt));
@@ -301,6 +359,9 @@
             let mut pool = Pool::new(self.policy, self.budgets(service));
             pool.set_targets(self.targets(service));
             pool.set_transfer_cost(self.transfer_cost);
+            if self.is_routed(service) {
+                apply_hedge_limit(&mut pool, self.hedge_limit);
+            }
             self.pools.insert(service.into(), pool);
         }
         self.pools.get_mut(service).expect("inserted above")
@@ -309,13 +370,16 @@
     fn budgets(&self, service: &str) -> Budgets {
         match self.services.get(service) {
             Some(s) => Budgets::new(budget_shares(s)),
-            None if self.routed_services.iter().any(|known| **known == *service) => {
-                Budgets::new(ROUTE_TABLE_SHARES)
-            }
+            None if self.is_routed(service) => Budgets::new(route_table_shares(self.hedge_limit)),
             None => Budgets::default(),
         }
     }
 
+    /// Whether the route table leads to a service.
+    fn is_routed(&self, service: &str) -> bool {
+        self.routed_services.iter().any(|known| **known == *service)
+    }
+
     fn targets(&self, service: &str) -> Vec<Target> {
         let members = self.members.values();
         let serving = members.filter(|(m, _)| *m.service == *service && m.state.takes_calls());
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -51,6 +51,9 @@
     /// Cost of transferring a megabyte between data centres when a target is chosen, as
     /// time in seconds.
     pub transfer_cost: f64,
+    /// Maximum number of hedges for services of the route table, as a fraction of the calls;
+    /// `None` for the default budgets and delays.
+    pub hedge_share: Option<f64>,
     /// Speed of the host's link in Mbit/s; 0 if unknown.
     pub link: f64,
     /// Time after the announcement of a stop in which the daemon still accepts callers.
@@ -122,7 +125,7 @@
     Setting { flag, unit, default, help }
 }
 
-const SETTINGS: [Setting; 23] = [
+const SETTINGS: [Setting; 24] = [
     setting("listen", "IP:PORT", "127.0.0.1:8000", "address for callers"),
     setting("peer-listen", "IP:PORT", "127.0.0.1:8100", "address for other daemons, TCP and UDP"),
     setting(
@@ -169,6 +172,12 @@
         "0",
         "cost of a megabyte between data centres in the choice of a target, 0 to 1000",
     ),
+    setting(
+        "hedge-share",
+        "percentage",
+        "",
+        "limit on hedged requests of the route table's services, 0% (none) to 100%; empty for 1%",
+    ),
     setting("link", "Mbit/s", "0", "speed of the host's link, 0.1 to 1000000; 0 if unknown"),
     setting("linger", "seconds", "1", "time to keep accepting callers when stopping, 0 to 60"),
     setting("interface", "name", "callers", "interface to callers and targets: callers, platform"),
@@ -387,6 +396,7 @@
         let linger = raw.seconds("linger", 60.0);
         let link = raw.speed("link", 0.1, 1e6);
         let transfer_cost = raw.seconds("transfer-cost", 1000.0);
+        let hedge_share = raw.parse("hedge-share", scan_percentage);
         let interface = raw.require("interface", |text| Interface::try_from(text));
         let announce = raw.parse("announce", scan_address);
         let ready = raw.parse("ready", scan_address);
@@ -409,6 +419,7 @@
                 interface: interface?,
                 announce,
                 ready,
+                hedge_share,
                 link: link?,
                 linger: linger?,
                 clock_behind: Duration::ZERO,
@@ -442,6 +453,15 @@
     text.parse().map_err(|_| "expected IP:PORT".into())
 }
 
+/// Parses a percentage such as `2.5%` into a fraction.
+fn scan_percentage(text: &str) -> Result<f64, Box<str>> {
+    let percent = text.strip_suffix('%').and_then(|number| number.trim().parse::<f64>().ok());
+    let percent = percent.filter(|percent| (0.0..=100.0).contains(percent));
+    percent
+        .map(|percent| percent / 100.0)
+        .ok_or_else(|| "expected a percentage from 0% to 100%, such as 3%".into())
+}
+
 fn scan_addresses(text: &str) -> Result<Vec<SocketAddr>, Box<str>> {
     text.split(',').map(|part| scan_address(part.trim())).collect()
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -23,18 +23,23 @@
         "BRONZEPORT_SEED" => Some("7".into()),
         _ => None,
     };
+    let shares = ["0%", "2.5%"].map(|share| {
+        settings(&["--data-centre", "lahore-1", "--hedge-share", share], variable).hedge_share
+    });
+    assert_eq!(shares, [Some(0.0), Some(0.025)]);
     let settings = settings(&["--data-centre", "lahore-1"], variable);
     assert_eq!(&*settings.data_centre, "lahore-1");
     assert_eq!(settings.seed, 7);
     assert_eq!(settings.max_depth, 32);
     assert!(settings.target.is_none());
+    assert_eq!(settings.hedge_share, None);
 }
 
 #[test]
 fn all_findings_are_reported_with_their_sources() {
     let variable = |name: &str| (name == "BRONZEPORT_SLOTS").then(|| "many".into());
     let flags = ["--listen", "here", "--policy", "best", "--service", "Desk", "--speed", "1"];
-    let flags = [&flags[..], &["--link", "1e-9"]].concat();
+    let flags = [&flags[..], &["--link", "1e-9", "--hedge-share", "3"]].concat();
     let findings = read(flags.iter().map(OsString::from), variable).unwrap_err().to_string();
     for part in [
         "--listen: expected IP:PORT, found `here`",
@@ -43,6 +48,7 @@
         "--target: required when a service is set",
         "--speed: unknown flag",
         "--link: expected 0 or a number from 0.1 to 1000000, found `1e-9`",
+        "--hedge-share: expected a percentage from 0% to 100%, such as 3%, found `3`",
         "BRONZEPORT_SLOTS: expected a number from 1 to 4096, found `many`",
         "--data-centre: missing",
     ] {
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -251,6 +251,11 @@
         self.hosts[host].store_proxy.set(fault);
     }
 
+    /// Adds a flag with its value to the arguments with which a host's daemon is started.
+    pub fn add_daemon_flag(&mut self, host: usize, flag: &str, value: &str) {
+        self.hosts[host].daemon_args.extend([format!("--{flag}"), value.to_owned()]);
+    }
+
     /// Kills a host's daemon.
     pub fn kill_daemon(&mut self, host: usize) {
         self.hosts[host].daemon = None;
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -34,6 +34,9 @@
     pub retries: Budget,
     /// Second attempts that run beside a late first attempt.
     pub hedges: Budget,
+    /// Retries and hedges together, if they have a common limit. Retries are counted but not
+    /// limited by it, so that it may be in debt.
+    total: Option<Budget>,
 }
 
 impl Budget {
@@ -81,6 +84,7 @@
             probes: Budget::new(shares.probes),
             retries: Budget::new(shares.retries),
             hedges: Budget::new(shares.hedges),
+            total: None,
         };
         budgets.set_shares(shares);
         budgets
@@ -94,6 +98,36 @@
         for budget in [&mut self.probes, &mut self.retries, &mut self.hedges] {
             budget.set_burst(shares.burst);
         }
+        if let Some(total) = &mut self.total {
+            total.set_burst(2.0 * shares.burst);
+        }
+    }
+
+    /// Limits retries and hedges together to a share of the calls. Retries take precedence.
+    pub fn set_total(&mut self, share: f64) {
+        let burst = self.retries.burst + self.hedges.burst;
+        let total = self.total.get_or_insert_with(|| Budget { burst, ..Budget::new(share) });
+        total.set_share(share);
+    }
+
+    /// Withdraws a token for a hedge and returns whether one was available. The common limit
+    /// keeps one token for the next retry.
+    pub fn try_withdraw_hedge(&mut self) -> bool {
+        let Some(total) = &mut self.total else {
+            return self.hedges.try_withdraw();
+        };
+        let is_allowed = total.tokens >= 2.0 - 1e-9 && self.hedges.try_withdraw();
+        if is_allowed {
+            total.tokens -= 1.0;
+        }
+        is_allowed
+    }
+
+    /// Counts a retry against the common limit.
+    pub fn charge_retry(&mut self) {
+        if let Some(total) = &mut self.total {
+            total.tokens = (total.tokens - 1.0).max(-total.burst);
+        }
     }
 
     /// Deposits the share of one call in each budget.
@@ -101,6 +135,9 @@
         self.probes.deposit();
         self.retries.deposit();
         self.hedges.deposit();
+        if let Some(total) = &mut self.total {
+            total.deposit();
+        }
     }
 }
 
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -206,19 +206,20 @@
         prediction
     }
 
-    /// Removes an outstanding attempt and returns the kind of its call.
+    /// Removes an outstanding attempt and returns the kind of its call, and its age.
     pub(crate) fn end(
         &mut self,
         now: Instant,
         attempt: AttemptId,
         is_abandoned: bool,
-    ) -> Option<Box<str>> {
+    ) -> Option<(Box<str>, Duration)> {
         let index = self.outstanding.iter().position(|other| other.attempt == attempt)?;
         let ended = self.outstanding.swap_remove(index);
+        let age = now - ended.sent_at;
         if is_abandoned && ended.is_late(now) {
-            self.observe_lower_bound(now, now - ended.sent_at);
+            self.observe_lower_bound(now, age);
         }
-        Some(ended.kind)
+        Some((ended.kind, age))
     }
 
     /// The last reported pace in percent, or 0 if there is none.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod budget;
 mod estimate;
+mod hedge;
 mod policy;
 mod pool;
 mod request_stats;
@@ -31,6 +32,7 @@
 
 pub use budget::{Budget, BudgetShares, Budgets};
 pub use estimate::{Load, Target};
+pub use hedge::{HedgeDecision, HedgeLimit, HedgeRefusal};
 pub use policy::Policy;
 pub use pool::{AttemptHistory, AttemptResult, Call, Choice, Pool, Prediction};
 pub use request_stats::{NOMINAL_PACE, RequestStats, default_nominal_time, pace_factor};
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -4,6 +4,9 @@
 
 use crate::budget::Budgets;
 use crate::estimate::{Estimate, Load, Prior, Target};
+use crate::hedge::{
+    Candidate, HedgeDecision, HedgeLimit, HedgeRefusal, Hedges, is_short_of_capacity,
+};
 use crate::policy::Policy;
 use crate::request_stats::{RequestStats, default_nominal_time};
 use crate::retry::MAX_REDIRECTS;
@@ -97,6 +100,8 @@
     round_robin_turn: usize,
     last_attempt: AttemptId,
     hedge_after: Duration,
+    /// `None` if no operator's limit is set.
+    hedges: Option<Hedges>,
     request_stats: RequestStats,
     transfer_cost: f64,
     /// Budgets of this service for probes, retries and hedges.
@@ -112,6 +117,7 @@
             round_robin_turn: 0,
             last_attempt: 0,
             hedge_after: Duration::from_millis(50),
+            hedges: None,
             request_stats: RequestStats::default(),
             transfer_cost: 0.0,
             budgets,
@@ -124,6 +130,17 @@
         self.transfer_cost = transfer_cost;
     }
 
+    /// Sets an operator's limit on the hedges, which are then decided by
+    /// [`Pool::decide_hedge_within_limit`].
+    pub fn set_hedge_limit(&mut self, limit: HedgeLimit) {
+        self.hedges.get_or_insert_with(|| Hedges::new(limit)).set_limit(limit);
+    }
+
+    /// Whether an operator's limit on the hedges is set.
+    pub fn has_hedge_limit(&self) -> bool {
+        self.hedges.is_some()
+    }
+
     /// Records the size in bytes of an answer to a call of this kind.
     pub fn observe_answer_size(&mut self, kind: &str, bytes: usize) {
         self.request_stats.observe_answer_size(kind, bytes);
@@ -210,16 +227,30 @@
         let Some(estimate) = self.estimate_mut(node) else {
             return;
         };
-        let kind = estimate.end(now, attempt, result == AttemptResult::Abandoned);
+        let ended = estimate.end(now, attempt, result == AttemptResult::Abandoned);
         let pace = estimate.reported_pace();
         match result {
             AttemptResult::Answered(time) => estimate.observe_success(now, time, prior),
             AttemptResult::Failed => estimate.observe_failure(now),
             AttemptResult::Abandoned | AttemptResult::Inconclusive => estimate.end_trial(),
         }
-        if let (AttemptResult::Answered(service_time), Some(kind)) = (result, kind) {
+        let Some((kind, age)) = ended else {
+            return;
+        };
+        if let AttemptResult::Answered(service_time) = result {
             self.request_stats.observe(&kind, service_time, pace);
         }
+        // While the service is short of capacity, response times are those of its queues.
+        let is_short = self.is_short_of_capacity(now, prior);
+        match (&mut self.hedges, result) {
+            (Some(hedges), AttemptResult::Answered(_)) if !is_short => {
+                hedges.observe(now, &kind, age)
+            }
+            (Some(hedges), AttemptResult::Abandoned) if !is_short => {
+                hedges.observe_cancelled(now, &kind, age)
+            }
+            _ => {}
+        }
     }
 
     fn prior_for_call(&self, call: &Call) -> Prior {
@@ -259,7 +290,21 @@
         Some(stalest.target.node)
     }
 
-    /// Returns how long to wait for an answer before a hedge is sent.
+    /// Returns how long to wait for an answer before a hedge is sent, or `None` if the
+    /// operator's limit allows no hedges.
+    pub fn hedge_delay(&self, call: &Call) -> Option<Duration> {
+        let Some(hedges) = &self.hedges else {
+            return Some(self.hedge_after(call));
+        };
+        // A kind without a distribution does not take over the delay of other kinds.
+        let nominal_time = self.request_stats.nominal_time(&call.kind);
+        let nominal_time = nominal_time.unwrap_or(default_nominal_time(call.target_latency));
+        let delay = hedges.delay(&call.kind).unwrap_or(nominal_time.mul_f64(HEDGE_FACTOR));
+        hedges.is_enabled().then_some(delay.max(HEDGE_MIN))
+    }
+
+    /// Returns how long to wait for an answer before a hedge is sent, without an operator's
+    /// limit.
     pub fn hedge_after(&self, call: &Call) -> Duration {
         let nominal_time =
             self.request_stats.nominal_time(&call.kind).filter(|_| self.has_reported_pace());
@@ -296,6 +341,44 @@
         budget.try_withdraw().then_some(node)
     }
 
+    /// Decides on a hedge beside the targets in `tried` under the operator's limit. Returns
+    /// `None` if no limit is set.
+    pub fn decide_hedge_within_limit(
+        &mut self,
+        now: Instant,
+        tried: &[Node],
+        call: &Call,
+    ) -> Option<HedgeDecision> {
+        let hedges = self.hedges.as_ref()?;
+        let prior = self.prior_for_call(call);
+        if self.is_short_of_capacity(now, prior) {
+            return Some(HedgeDecision::Refuse(HedgeRefusal::ServiceFull));
+        }
+        let in_use = self.estimates.iter().filter(|e| !e.is_leaving() && e.is_available(now));
+        let candidates = in_use.map(|estimate| Candidate {
+            node: estimate.target.node,
+            rtt: estimate.target.rtt,
+            has_free_slot: estimate.has_free_slot(now, prior),
+            is_tried: tried.contains(&estimate.target.node),
+            cost: estimate.cost(now, prior, false),
+        });
+        Some(match hedges.choose(&candidates.collect::<Vec<_>>()) {
+            Err(refusal) => HedgeDecision::Refuse(refusal),
+            Ok(node) if self.budgets.try_withdraw_hedge() => HedgeDecision::Send(node),
+            Ok(_) => HedgeDecision::Refuse(HedgeRefusal::Budget),
+        })
+    }
+
+    /// Whether the targets that may get hedges are short of capacity as a whole.
+    fn is_short_of_capacity(&self, now: Instant, prior: Prior) -> bool {
+        let Some(hedges) = &self.hedges else {
+            return false;
+        };
+        let in_use = self.estimates.iter().filter(|e| !e.is_leaving() && e.is_available(now));
+        let near = in_use.filter(|estimate| hedges.is_near(estimate.target.rtt));
+        is_short_of_capacity(near.map(|e| (e.occupancy(now, prior), e.slots())))
+    }
+
     /// Targets to choose from: those that are neither tried nor leaving. Ejected
     /// targets are included only if no other target is left.
     fn candidates(&self, now: Instant, tried: &[Node]) -> Vec<usize> {
