CLI: check of route tables before they are sent

Cause: `bronzeport check` knew service files only. A route that never matches, a target latency above its timeout or a weight of 0 was seen in the traffic, after the table was in force.

Change: `check TABLE.json` reads the table as a daemon does (`platform::adapter().read_route_table`) and reports errors with their place and contradictions (`config::find_contradictions`): the same host and prefix twice, the same name twice, timeout 0, target latency above the timeout, weight 0, a service listed twice or without an entry, 0 connections. `--against FILE` prints what differs (`config::describe_differences`). Organisations are left out until the parser has them; neither function reads keys.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -7,12 +7,15 @@
 
 use lexopt::{Arg, Parser, ValueExt};
 
+use crate::table;
+
 /// The text that `--help` prints.
 pub const HELP: &str = "\
 bronzeport: drives the load balancer
 
 usage:
   bronzeport check PATH...                      check service files or folders of them
+  bronzeport check [--against FILE] TABLE.json  check a route table, and compare it
   bronzeport publish --platform A PATH...       put service files into force
   bronzeport history --platform A               what changed, when and by whom
   bronzeport show --platform A [--daemons A,A]  what is in force, and where it is not yet
@@ -28,6 +31,7 @@
   --remove SERVICE     with publish: remove a service, may be repeated
   --accept-copy        with publish: take what the store has as complete, although it came
                        back from an older copy and no daemon can tell what is missing
+  --against FILE       with check: print what a route table changes against this one
   --log FILE           with explain: a daemon's log, may be repeated; - is the input
   --limit N            with history: newest entries [20]
   --json               print JSON for programs
@@ -55,6 +59,8 @@
     pub remove: Vec<Box<str>>,
     /// Whether `publish` takes what a restored store has as in force.
     pub accept_copy: bool,
+    /// Route table that `check` compares another one with.
+    pub against: Option<PathBuf>,
     /// Maximum number of history entries to print.
     pub limit: usize,
     /// Whether to print results as JSON.
@@ -127,6 +133,7 @@
         logs: Vec::new(),
         remove: Vec::new(),
         accept_copy: false,
+        against: None,
         limit: 20,
         json: false,
         operands: Vec::new(),
@@ -151,6 +158,7 @@
             Arg::Long("who") => args.who = parser.value()?.string()?.into(),
             Arg::Long("remove") => args.remove.push(parser.value()?.string()?.into()),
             Arg::Long("accept-copy") => args.accept_copy = true,
+            Arg::Long("against") => args.against = Some(parser.value()?.into()),
             Arg::Long("log") => args.logs.push(parser.value()?.into()),
             Arg::Long("limit") => args.limit = parser.value()?.parse()?,
             Arg::Value(value) if command.is_none() => {
@@ -184,6 +192,10 @@
     if needs_path && args.operands.is_empty() {
         return Err(usage_error("no file or folder is given".into()));
     }
+    let is_one_table = args.operands.len() == 1 && table::is_table(&args.operands[0]);
+    if args.against.is_some() && !(args.command == Command::Check && is_one_table) {
+        return Err(usage_error("--against is for the check of one route table (.json)".into()));
+    }
     if args.command == Command::Explain && args.operands.len() != 1 {
         return Err(usage_error("explain takes one request id".into()));
     }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,5 +1,7 @@
 //! The commands and their output.
 
+use std::path::PathBuf;
+
 use kernel::Kernel;
 use serde_json::{Value, json};
 use store::{Settings, Store};
@@ -7,7 +9,7 @@
 use crate::admin::AdminClient;
 use crate::args::{Args, Command, HELP};
 use crate::publish::{Publication, PublishError, PublishResult};
-use crate::{files, history, logs, publish};
+use crate::{files, history, logs, publish, table};
 
 /// Exit status of a command. The values are the exit codes of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,7 +63,48 @@
 }
 
 fn check(args: &Args) -> ExitStatus {
-    match files::collect(&args.operands) {
+    let (tables, paths): (Vec<PathBuf>, Vec<PathBuf>) =
+        args.operands.iter().cloned().partition(|path| table::is_table(path));
+    match tables.is_empty() {
+        true => check_files(args, &paths),
+        false => check_tables(args, &tables, &paths),
+    }
+}
+
+/// Checks route tables, and service files if any are given too.
+fn check_tables(args: &Args, tables: &[PathBuf], paths: &[PathBuf]) -> ExitStatus {
+    let mut findings = Vec::new();
+    let mut differences = Vec::new();
+    for path in tables {
+        let checked = table::check(path).and_then(|later| match &args.against {
+            Some(earlier) => table::differences(earlier, &later),
+            None => Ok(Vec::new()),
+        });
+        match checked {
+            Ok(lines) => differences.extend(lines),
+            Err(found) => findings.extend(found),
+        }
+    }
+    if !paths.is_empty() {
+        findings.extend(files::collect(paths).err().unwrap_or_default());
+    }
+    if !findings.is_empty() {
+        report_findings(args, &findings);
+        return ExitStatus::Findings;
+    }
+    let count = tables.len() + paths.len();
+    if args.json {
+        let report = json!({ "files": count, "findings": [], "differences": differences });
+        return print(&report.to_string());
+    }
+    for line in &differences {
+        println!("{line}");
+    }
+    print(&format!("{count} files are good"))
+}
+
+fn check_files(args: &Args, paths: &[PathBuf]) -> ExitStatus {
+    match files::collect(paths) {
         Ok(files) if args.json => {
             print(&json!({ "files": files.len(), "findings": [] }).to_string())
         }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod history;
 pub mod logs;
 pub mod publish;
+pub mod table;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -33,6 +33,7 @@
 mod scanners;
 mod service;
 pub mod stored;
+mod table_check;
 
 pub use active::{ActiveConfig, Change, InstallResult, ReadTable, Revision};
 pub use finding::{Finding, Findings};
@@ -40,3 +41,4 @@
 pub use parse::Source;
 pub use route_table::{PathRule, RequestLimits, RouteTable, TargetSettings, WeightedService};
 pub use service::{Match, Pattern, Repeat, Rule, Service, Share};
+pub use table_check::{Contradiction, describe_differences, find_contradictions};
--- a/crates/config/src/route_table.rs
+++ b/crates/config/src/route_table.rs
@@ -94,6 +94,12 @@
         Self { revision, target_settings: target_settings.into_iter().collect(), limits, hosts }
     }
 
+    /// The rules of all host names. Those of one host name with the same prefix are in the order
+    /// in which they were added.
+    pub fn rules(&self) -> impl Iterator<Item = &Rc<PathRule>> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns the rule with the longest prefix that matches `path`. The path
     /// may have a query, which is ignored.
     pub fn find(&self, hostname: &str, path: &str) -> Option<&Rc<PathRule>> {
