--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -33,6 +33,7 @@
 mod scanners;
 mod service;
 pub mod stored;
+mod table_check;
 
 pub use active::{ActiveConfig, Change, InstallResult, ReadTable, Revision};
 pub use finding::{Finding, Findings};
@@ -42,3 +43,4 @@
     ColdLimit, PathRule, RequestLimits, RouteTable, TargetSettings, WeightedService,
 };
 pub use service::{Match, Pattern, Repeat, Rule, Service, Share};
+pub use table_check::{Contradiction, describe_differences, find_contradictions};
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod budget;
 mod estimate;
+mod hedge;
 mod locality;
 mod policy;
 mod pool;
@@ -32,6 +33,7 @@
 
 pub use budget::{Budget, BudgetShares, Budgets};
 pub use estimate::{Load, Target};
+pub use hedge::{HedgeDecision, HedgeLimit, HedgeRefusal};
 pub use locality::{DataCentre, Departure};
 pub use policy::Policy;
 pub use pool::{AttemptHistory, AttemptResult, Call, Choice, Pool, Prediction};
