--- a/crates/member/src/locality.rs
+++ b/crates/member/src/locality.rs
@@ -23,13 +23,19 @@
 /// Mean number of members of one data centre that send urgent news to a far member.
 const URGENT_RELAYS: f64 = 8.0;
 /// Mean number of members of one data centre that send a round of reads of the store to a far
-/// member on each tick. Pings carry it as well.
-const ROUND_RELAYS: f64 = 1.0;
+/// member on each tick. Pings carry it as well. A round that arrives late makes daemons read the
+/// store themselves, which costs money.
+const ROUND_RELAYS: f64 = 4.0;
+/// Mean number of members of one data centre that compare lists with a far member, or look for
+/// restarted daemons in far data centres, each time that all of them have reason to.
+const CARE_RELAYS: f64 = 1.0;
 /// Mean number of members of one data centre that ping a far data centre of which they have
 /// heard that a member is suspected.
 const ALERT_RELAYS: f64 = 64.0;
-/// Number of far members that a node sends news about itself to.
+/// Least number of far members, and largest number of far data centres, that a node sends its own
+/// news to.
 const ORIGIN_FANOUT: usize = 3;
+const ORIGIN_DATA_CENTRES: usize = 8;
 /// Number of datagrams that carry a new update at once to random members near by. Without them,
 /// fewer datagrams would pass than with pings of all members, and updates would spread slower.
 const NEWS_SENDS: u32 = 2;
@@ -43,7 +49,7 @@
 /// Which far members receive urgent news.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FarReach {
-    /// The news is about the local node: some members.
+    /// The news comes from the local node: a member of each of some data centres.
     Origin,
     /// All members pass the news on: one member, from a few members of each data centre.
     Relay,
@@ -118,7 +124,7 @@
         let is_near_remote = |member: &Member| member.data_centre != own && !is_far(member);
         nodes.extend(self.pick_preferred(&preferred, remote, is_near_remote));
         nodes.extend(match far {
-            FarReach::Origin => self.pick_random_present(ORIGIN_FANOUT, is_far),
+            FarReach::Origin => self.pick_in_each(far_names.clone()),
             FarReach::Relay if self.is_relay(URGENT_RELAYS) => self.pick_random_present(1, is_far),
             FarReach::Round if self.is_relay(ROUND_RELAYS) => self.pick_random_present(1, is_far),
             FarReach::Relay | FarReach::Round => Vec::new(),
@@ -162,7 +168,7 @@
     /// only some members compare with a far one; the others get the differences from them.
     pub(crate) fn may_sync_with(&mut self, data_centre: &str) -> bool {
         let is_alone = self.neighbours().next().is_none();
-        is_alone || !self.is_far(data_centre) || self.is_relay(ROUND_RELAYS)
+        is_alone || !self.is_far(data_centre) || self.is_relay(CARE_RELAYS)
     }
 
     /// Notes a new update for the datagrams that carry it at once, and a sign that a far data
@@ -262,7 +268,7 @@
     /// Removes nodes of far data centres, unless the local node is one of the few of its data
     /// centre that look after them this time.
     pub(crate) fn without_far(&mut self, mut nodes: Vec<Node>) -> Vec<Node> {
-        if !self.far_data_centres().is_empty() && !self.is_relay(ROUND_RELAYS) {
+        if !self.far_data_centres().is_empty() && !self.is_relay(CARE_RELAYS) {
             nodes.retain(|node| !self.is_far_node(*node));
         }
         nodes
@@ -277,6 +283,22 @@
         members.filter(is_neighbour)
     }
 
+    /// Returns a random member of each of these data centres, up to [`ORIGIN_DATA_CENTRES`], and
+    /// further ones up to [`ORIGIN_FANOUT`].
+    fn pick_in_each(&mut self, mut data_centres: Vec<Box<str>>) -> Vec<Node> {
+        self.random.shuffle(&mut data_centres);
+        let mut picked = Vec::new();
+        for name in data_centres.iter().take(ORIGIN_DATA_CENTRES) {
+            picked.extend(self.pick_random_present(1, |member| member.data_centre == *name));
+        }
+        let missing = ORIGIN_FANOUT.saturating_sub(picked.len());
+        let more = self.pick_random_present(missing, |member| {
+            data_centres.contains(&member.data_centre) && !picked.contains(&member.node)
+        });
+        picked.extend(more);
+        picked
+    }
+
     fn pick_random_present(
         &mut self,
         count: usize,
--- a/crates/member/tests/locality.rs
+++ b/crates/member/tests/locality.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use member::{Action, FarReach, Member, Members, Message, RecentRequesters, State};
+use member::{Action, FarReach, Freshness, Member, Members, Message, RecentRequesters, State};
 
 const TICK: Duration = Duration::from_millis(100);
 
@@ -17,6 +17,8 @@
     partitioned: Vec<u64>,
     /// Revision in force at each node. All datagrams carry it, as the daemon's do.
     revisions: BTreeMap<u64, u64>,
+    /// What each node knows of reads of the store. All datagrams carry the latest round.
+    freshness: BTreeMap<u64, Freshness>,
     far_datagrams: u64,
     syncs_from_far: u64,
 }
@@ -50,6 +52,7 @@
             silent: Vec::new(),
             partitioned: Vec::new(),
             revisions: (1..=count).map(|node| (node, 0)).collect(),
+            freshness: (1..=count).map(|node| (node, Freshness::default())).collect(),
             far_datagrams: 0,
             syncs_from_far: 0,
         };
@@ -67,6 +70,7 @@
                     let now = self.now;
                     let actions = self.list(node).tick(now);
                     self.perform(node, actions);
+                    self.pass_round_on(node);
                 }
             }
         }
@@ -99,7 +103,13 @@
                         updates: list.take_updates(),
                         digest: list.digest(),
                     };
-                    self.deliver(from, &to, message);
+                    let now = self.now;
+                    let round = self.freshness.get_mut(&from).and_then(|known| known.take(now));
+                    let receiver = self.addresses[&to];
+                    if self.deliver(from, &to, message) {
+                        let known = self.freshness.get_mut(&receiver);
+                        known.zip(round).map(|(known, round)| known.learn(now, round));
+                    }
                 }
                 Action::Sync { with } => self.sync(from, &with),
             }
@@ -110,20 +120,29 @@
         self.lists[&one].local().data_centre != self.lists[&other].local().data_centre
     }
 
-    fn deliver(&mut self, from: u64, to: &str, message: Message) {
+    /// Delivers a datagram, and returns whether it has arrived.
+    fn deliver(&mut self, from: u64, to: &str, message: Message) -> bool {
         let to = self.addresses[to];
         if !self.lists.contains_key(&to) {
-            return;
+            return false;
         }
         self.far_datagrams += u64::from(self.is_far(from, to));
         let is_cut = self.partitioned.contains(&from) != self.partitioned.contains(&to);
         if is_cut || self.silent.contains(&to) {
-            return;
+            return false;
         }
         let now = self.now;
         let actions = self.list(to).receive(now, message);
         self.perform(to, actions);
         self.install(to, self.revisions[&from]);
+        true
+    }
+
+    fn pass_round_on(&mut self, node: u64) {
+        if self.freshness.get(&node).is_some_and(Freshness::has_pending) {
+            let actions = self.list(node).spread_near([], 2, 2, FarReach::Round);
+            self.perform(node, actions);
+        }
     }
 
     fn install(&mut self, node: u64, revision: u64) {
@@ -281,6 +300,44 @@
     }
 }
 
+/// A daemon reads the store itself if the latest round that it knows is older than 1.1 s, and one
+/// daemon reads every 0.7 s. Rounds that arrive late elsewhere would cost many reads.
+#[test]
+fn rounds_of_reads_of_the_store_arrive_before_other_daemons_read() {
+    for (count, data_centres) in [(87, 3), (68, 17)] {
+        let [(off, _), (on, datagrams)] = FAR.map(|limit| {
+            let mut fleet = Fleet::new(count, data_centres, 1, limit);
+            let (mut late, mut checks) = (0, 0);
+            let before = fleet.far_datagrams;
+            for round in 0..30 {
+                let now = fleet.now;
+                fleet.freshness.get_mut(&7).expect("a node").confirm(now);
+                let actions = fleet.list(7).spread_near([], 3, 2, FarReach::Origin);
+                fleet.perform(7, actions);
+                for _ in 0..7 {
+                    fleet.run(TICK);
+                    let is_late = |known: &&Freshness| {
+                        let age = known.read_at().map(|at| fleet.now - at);
+                        age.is_none_or(|age| age > Duration::from_millis(1100))
+                    };
+                    let is_counted = u64::from(round > 2);
+                    late += is_counted * fleet.freshness.values().filter(is_late).count() as u64;
+                    checks += is_counted * count;
+                }
+            }
+            let datagrams = (fleet.far_datagrams - before) as f64 / 21.0 / count as f64;
+            (late as f64 / checks as f64, datagrams)
+        });
+        println!(
+            "old rounds, {count} members in {data_centres}: {off:.4} off, {on:.4} on; \
+             {datagrams:.2} far datagrams per second and member"
+        );
+        assert!(on < 0.01, "{on} of the rounds are old");
+        // With 120 bytes each, the aim of 0.8 KB/s allows 6.7; announcements of load need some.
+        assert!(datagrams < 4.0, "{datagrams} far datagrams per second and member");
+    }
+}
+
 /// The case of incident inc-5ca9 with far data centres: a restarted daemon that cannot read the
 /// table of members is found by those that knew its earlier process.
 #[test]
