Routing: failing targets are no capacity of their data centre

A fleet of four daemons in two data centres refused a harmless call after two crashes ('unreachable').

A target whose latest attempt failed within 1.4 s no longer counts as capacity; if all do, the call leaves.

--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -15,6 +15,8 @@
 const SERVICE_TIME_DECAY: Duration = Duration::from_secs(2);
 /// Time constant with which the effect of a failure decays.
 const FAILURE_DECAY: Duration = Duration::from_secs(2);
+/// Weight of the latest failure above which a target counts as failing, that is for 1.4 s.
+const FAILING_WEIGHT: f64 = 0.5;
 /// Number of consecutive failures after which a target is ejected.
 const EJECT_AFTER_FAILURES: u32 = 3;
 /// Duration of the first ejection, and the limit up to which it doubles.
@@ -397,6 +399,12 @@
         (self.target.rtt.as_secs_f64() + service_time + wait) * failure_factor
     }
 
+    /// Whether the latest attempt failed a short time ago, so that the next one will probably
+    /// fail as well.
+    pub(crate) fn is_failing(&self, now: Instant) -> bool {
+        self.failures > 0 && self.failure_weight(now) > FAILING_WEIGHT
+    }
+
     /// Weight of the recorded failures, which decays from 1 to 0 after the last one.
     fn failure_weight(&self, now: Instant) -> f64 {
         self.last_failure.map_or(0.0, |at| decay(now - at, FAILURE_DECAY))
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -208,7 +208,10 @@
         let is_near = |index: &usize| self.estimates[*index].data_centre.is_none();
         let (near, far): (Vec<usize>, Vec<usize>) = candidates.into_iter().partition(is_near);
         let demand = self.demand(call, history);
-        let home = self.home(now, &near, &demand, history);
+        // Until it is ejected, a failing target is a candidate, but it is no capacity.
+        let is_sound = |index: &&usize| !self.estimates[**index].is_failing(now);
+        let sound: Vec<usize> = near.iter().filter(is_sound).copied().collect();
+        let home = self.home(now, &sound, &demand, history);
         if home.is_some_and(|home| suffices(home, &demand)) {
             return (self.choose_among(now, near, random, history, call), None);
         }
@@ -234,8 +237,10 @@
                 let may_queue = !demand.has_alternative;
                 (Choice::Send { node, may_queue }, Some(departure))
             }
-            (None, Some(_)) => (self.choose_among(now, near, random, history, call), None),
-            (None, None) => {
+            (None, _) if !near.is_empty() => {
+                (self.choose_among(now, near, random, history, call), None)
+            }
+            (None, _) => {
                 let choice = self.choose_among(now, far, random, history, call);
                 let leaves = choice != Choice::NoTarget;
                 (choice, leaves.then_some(departure))
--- a/crates/route/tests/locality.rs
+++ b/crates/route/tests/locality.rs
@@ -576,3 +576,29 @@
     let (_, departure) = pool.choose_with_departure(now, &mut random, &history, &call());
     assert_eq!(departure, Some(Departure::NoTarget));
 }
+
+/// Guards against calls that are sent to crashed targets at home, with retries there, while other
+/// data centres have targets that work: a fleet test found them with two targets in each.
+#[test]
+fn calls_leave_a_data_centre_whose_targets_fail() {
+    let now = Instant::now();
+    let mut pool = pool_of(now, 0, 2 * TARGETS, 2000, true);
+    let mut random = fastrand::Rng::with_seed(1);
+    let history = AttemptHistory::default();
+    let mut choose = |pool: &mut Pool, now| {
+        let (choice, departure) = pool.choose_with_departure(now, &mut random, &history, &call());
+        let Choice::Send { node, .. } = choice else { panic!("{choice:?}") };
+        (node, departure)
+    };
+    for failing in 1..=TARGETS as u64 {
+        let (node, departure) = choose(&mut pool, now);
+        assert!(node <= TARGETS as u64 && departure.is_none(), "{failing} failing");
+        let (attempt, _) = pool.begin(now, failing, &call());
+        pool.end(now, failing, attempt, AttemptResult::Failed);
+    }
+    let (node, departure) = choose(&mut pool, now);
+    assert!(node > TARGETS as u64);
+    assert_eq!(departure, Some(Departure::NoTarget));
+    let (node, _) = choose(&mut pool, now + 2 * SECOND);
+    assert!(node <= TARGETS as u64, "the data centre is tried again");
+}
