--- a/crates/lab/tests/hedge.rs
+++ b/crates/lab/tests/hedge.rs
@@ -16,6 +16,9 @@
 /// Host whose target is simulated.
 const SLOW: usize = 2;
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Load of the simulated target: without a pace, its costs could not be compared with those of
+/// the other target, and it might get no requests.
+const LOAD: &str = "bronzeport-server-load: 0,0,4,100";
 const MAX_ROUNDS: usize = 30;
 const CALLS_PER_ROUND: usize = 60;
 
@@ -57,7 +60,7 @@
             log.lock().expect("no thread panics").answers += 1;
         }
         let id = id.map_or(String::new(), |id| format!("bronzeport-request-id: {id}\r\n"));
-        let answer = format!("HTTP/1.1 200 OK\r\n{id}content-length: 0\r\n\r\n");
+        let answer = format!("HTTP/1.1 200 OK\r\n{LOAD}\r\n{id}content-length: 0\r\n\r\n");
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
         }
--- a/crates/lab/tests/statuses.rs
+++ b/crates/lab/tests/statuses.rs
@@ -12,6 +12,10 @@
 use lab::soak::host::Mesh;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Pace and service time of the simulated target, as of the other targets. Otherwise one of them
+/// might get no requests, or hedges of the slower one's would use up the retry budget.
+const SERVICE_TIME: Duration = Duration::from_millis(25);
+const LOAD: &str = "bronzeport-server-load: 0,0,4,100";
 /// Present in the invalid answers of the simulated target.
 const MARK: &str = "not-for-callers";
 
@@ -59,6 +63,9 @@
         let id = head.iter().find_map(|line| line.strip_prefix("bronzeport-request-id: "));
         let number = path.rsplit_once("/bad-").and_then(|(_, name)| name.split('-').next());
         let invalid = number.and_then(|number| STATUS_LINES.get(number.parse::<usize>().ok()?));
+        if id.is_some() {
+            std::thread::sleep(SERVICE_TIME);
+        }
         if let (Some(id), Some(_)) = (id, invalid) {
             target.invalid.lock().expect("no thread panics").push(id.to_owned());
         }
@@ -66,12 +73,12 @@
             (None, _) if target.breaks_health_page.load(Ordering::SeqCst) => {
                 "HTTP/1.1 600 x\r\nserver-leaving: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
             }
-            (None, _) => "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            (None, _) => format!("HTTP/1.1 200 OK\r\n{LOAD}\r\ncontent-length: 0\r\n\r\n"),
             // The connection closes within the status line, or within an interim answer.
             (Some(_), None) if path.contains("/cut") => "HTTP/1.1 20".to_owned(),
             (Some(_), None) if path.contains("/interim") => "HTTP/1.1 100 Continue\r\n".to_owned(),
             (Some(id), invalid) => format!(
-                "{}\r\nbronzeport-request-id: {id}\r\nx-mark: {MARK}\r\n\
+                "{}\r\n{LOAD}\r\nbronzeport-request-id: {id}\r\nx-mark: {MARK}\r\n\
                  bronzeport-server-signature: s\r\ncontent-length: {}\r\n\r\n{MARK}",
                 invalid.unwrap_or(&"HTTP/1.1 200 OK"),
                 MARK.len()
