Soak: organisations, quotas, evacuation and cold targets

Cause: the soak played none of the new guarantees. Change: its configuration has three organisations, callers send their keys, other ones or none, one organisation is hot for 9 s, one data centre is evacuated for 12 s, and targets are cold for 3 s after their start. The checks judge what targets and callers saw. The tour shows a hot organisation and the explanation of a refusal.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -84,6 +84,7 @@
     announced: Option<SocketAddr>,
     service_name: String,
     clock_behind: Duration,
+    cold_start: Duration,
 }
 
 impl Options {
@@ -107,6 +108,7 @@
             announced: None,
             service_name: "desk".into(),
             clock_behind: Duration::ZERO,
+            cold_start: Duration::ZERO,
         };
         let mut parser = lexopt::Parser::from_args(args);
         while let Some(arg) = parser.next()? {
@@ -140,6 +142,9 @@
                 lexopt::Arg::Long("clock-behind-ms") => {
                     options.clock_behind = Duration::from_millis(parser.value()?.parse()?);
                 }
+                lexopt::Arg::Long("cold-start-ms") => {
+                    options.cold_start = Duration::from_millis(parser.value()?.parse()?);
+                }
                 lexopt::Arg::Long("json") => {}
                 other => return Err(other.unexpected().into()),
             }
@@ -210,6 +215,7 @@
         service_time: options.service_time,
         seed: options.seed,
         clock_behind: options.clock_behind,
+        cold_start: options.cold_start,
     };
     serve(&options, |kernel, listener| sidecar::serve(kernel, listener, settings))
 }
--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -9,8 +9,10 @@
 //! | `run MS ID CALLER DEADLINE` | a request has begun to run |
 //! | `organisation ID NAME` | that request names this organisation |
 //! | `authorization ID` | that request has the credentials of its caller |
+//! | `shed MS ID` | a request has been answered without running |
 //! | `ran MS ID` | a request has run to its end |
 //! | `limit MS RATE` | the target accepts this rate from now on; `null`: any rate |
+//! | `cold MS REMAINING` | the target is cold for this number of milliseconds |
 //! | `check MS` | the health page was requested while the target limits the rate |
 //! | `acked MS` | the daemon has acknowledged that this target is leaving |
 
@@ -52,6 +54,8 @@
     pub seed: u64,
     /// Offset by which the host's wall clock is behind.
     pub clock_behind: Duration,
+    /// Time after the start for which the target is cold.
+    pub cold_start: Duration,
 }
 
 struct Target {
@@ -69,6 +73,8 @@
     rate_limit: Cell<Option<f64>>,
     /// Whether the health page names the accepted rate too.
     is_limit_on_page: Cell<bool>,
+    /// Unix time in milliseconds until which the target is cold.
+    cold_until: Cell<u64>,
     random: RefCell<fastrand::Rng>,
 }
 
@@ -90,6 +96,7 @@
         states_leaving: Cell::new(false),
         rate_limit: Cell::new(None),
         is_limit_on_page: Cell::new(true),
+        cold_until: Cell::new(0),
         random: RefCell::new(fastrand::Rng::with_seed(settings.seed)),
         settings,
     });
@@ -101,6 +108,9 @@
         max_body_bytes: MAX_BODY_BYTES,
         max_connections: 1000,
     };
+    if !target.settings.cold_start.is_zero() {
+        target.become_cold(target.settings.cold_start.as_millis() as u64);
+    }
     let announcing = target.clone();
     kernel.start(async move { announcing.announce().await });
     let handler: web::Handler = Rc::new(move |request| Box::pin(target.clone().handle(request)));
@@ -138,7 +148,7 @@
             "status": {
                 "state": if is_leaving { "draining" } else { "ready" },
                 "sequence": sequence,
-                "cold_remaining": "0ms",
+                "cold_remaining": format!("{}ms", self.cold_remaining()),
             },
         });
         Request::builder()
@@ -149,6 +159,16 @@
             .expect("a valid request")
     }
 
+    fn become_cold(&self, remaining_ms: u64) {
+        self.cold_until.set(unix_millis() + remaining_ms);
+        print_line(&format!("cold {} {remaining_ms}", unix_millis()));
+    }
+
+    /// Milliseconds for which the target is still cold.
+    fn cold_remaining(&self) -> u64 {
+        self.cold_until.get().saturating_sub(unix_millis())
+    }
+
     async fn handle(self: Rc<Self>, request: IncomingRequest) -> Response<Bytes> {
         let head = request.head;
         let body = request.body.unwrap_or_default();
@@ -166,6 +186,10 @@
                 false => StatusCode::OK,
             };
             let mut response = self.answer(status, "", Bytes::new());
+            if self.cold_remaining() > 0 {
+                let remaining = HeaderValue::from(self.cold_remaining());
+                response.headers_mut().insert("bronzeport-cold-ms", remaining);
+            }
             if !self.is_limit_on_page.get() {
                 response.headers_mut().remove("server-limit");
             }
@@ -182,6 +206,7 @@
         }
         let failure_mode = self.failure_mode.borrow().clone();
         if self.running.get() >= self.settings.slots || &*failure_mode == "shed" {
+            print_line(&format!("shed {} {id}", unix_millis()));
             let mut response = self.answer(StatusCode::SERVICE_UNAVAILABLE, &id, Bytes::new());
             let not_executed = HeaderValue::from_static("1");
             response.headers_mut().insert("bronzeport-not-executed", not_executed);
@@ -189,14 +214,16 @@
         }
         let (caller, deadline) =
             (header("bronzeport-caller-service"), header("bronzeport-deadline-ms"));
-        print_line(&format!("run {} {id} {caller} {deadline}", unix_millis()));
+        let mut lines = format!("run {} {id} {caller} {deadline}", unix_millis());
         let organisation = header("bronzeport-tenant-id");
         if !organisation.is_empty() {
-            print_line(&format!("organisation {id} {organisation}"));
+            lines += &format!("\norganisation {id} {organisation}");
         }
         if head.headers.contains_key("authorization") {
-            print_line(&format!("authorization {id}"));
+            lines += &format!("\nauthorization {id}");
         }
+        // Written at once, since the process may be killed at any time.
+        print_line(&lines);
         let _running = RunningGuard::new(&self.running);
         let jitter = self.random.borrow_mut().f64() + 0.5;
         let service_time = match path.starts_with("/slow/") {
@@ -250,6 +277,9 @@
             self.rate_limit.set(limit.as_f64());
             print_line(&format!("limit {} {limit}", unix_millis()));
         }
+        if let Some(remaining) = value["cold_ms"].as_u64() {
+            self.become_cold(remaining);
+        }
         if let Some(is_on_page) = value["limit_on_page"].as_bool() {
             self.is_limit_on_page.set(is_on_page);
         }
@@ -286,6 +316,6 @@
 fn print_line(line: &str) {
     let mut out = std::io::stdout().lock();
     // The reader of the output may have exited; its line is not needed then.
-    let _ = writeln!(out, "{line}");
+    let _ = out.write_all(format!("{line}\n").as_bytes());
     let _ = out.flush();
 }
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -9,7 +9,9 @@
 mod check;
 pub mod host;
 mod load;
+mod organisations;
 mod schedule;
+pub mod tour;
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -21,8 +23,11 @@
 use host::Mesh;
 use schedule::Step;
 
-/// Time without faults, under load, at the start and at the end of a round.
+/// Time without faults, under load, at the start of a round.
 const FAULT_FREE_PERIOD: Duration = Duration::from_secs(2);
+/// Time under load after the recovery. Guarantees about a calm fleet apply some seconds after the
+/// last fault.
+const CALM_PERIOD: Duration = Duration::from_secs(8);
 /// Time between two checks whether a fault has to be reverted.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Violations of one round that are printed.
@@ -114,8 +119,9 @@
     steps: &[Step],
     report: &mut Report,
 ) -> Result<Vec<Violation>, Box<str>> {
-    let mut mesh = Mesh::start(settings.daemons, seed, settings.logs.as_deref())?;
-    let callers = load::Callers::start(mesh.entries(), seed);
+    let mut mesh =
+        Mesh::start_with_organisations(settings.daemons, seed, settings.logs.as_deref())?;
+    let callers = load::Callers::start(mesh.entries(), seed, mesh.demand());
     let started = Instant::now();
     std::thread::sleep(FAULT_FREE_PERIOD);
     for step in steps {
@@ -139,7 +145,7 @@
             eprintln!("  {line}");
         }
     }
-    std::thread::sleep(FAULT_FREE_PERIOD);
+    std::thread::sleep(CALM_PERIOD);
     let records = callers.stop();
     report.calls += records.len();
     let mut observations = mesh.collect();
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -1,5 +1,8 @@
 //! Checks the guarantees against what callers and targets observed.
 
+mod locality;
+mod organisations;
+
 use std::collections::HashMap;
 use std::fmt;
 
@@ -32,7 +35,7 @@
 const ABANDONED_RUN_SHARE: f64 = 0.25;
 const ABANDONED_RUN_MIN: usize = 4;
 /// Statuses that guarantee that the request has not run and will not run.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+const NOT_RUN_STATUSES: [u16; 5] = [401, 408, 421, 429, 503];
 
 /// A violated guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,6 +66,22 @@
     RetryBudgetExceeded(String),
     /// Too many requests ran to completion after their callers had left.
     AbandonedCompleted(String),
+    /// A target received the credentials of a caller.
+    ForwardedCredentials(Box<str>),
+    /// A target received another organisation than that of the caller's key.
+    WrongOrganisation(String),
+    /// A request ran although its key was not in force.
+    RanWithoutKey(String),
+    /// A request was refused although its key was in force.
+    KnownKeyRefused(String),
+    /// More requests of an organisation ran than its quota allows.
+    QuotaExceeded(String),
+    /// A request of an organisation that stays far below its quota was refused for the quota.
+    RefusedWithinQuota(String),
+    /// A request reached a target in an evacuated data centre.
+    RanInEvacuated(String),
+    /// A cold target got more requests than it handles.
+    ColdExceeded(String),
     /// Calls did not succeed again in time, or a daemon's member list was incomplete.
     NotRecovered,
     /// A process exited or failed unexpectedly.
@@ -75,6 +94,8 @@
     caller: Box<str>,
     deadline_ms: u64,
     host: usize,
+    organisation: Option<Box<str>>,
+    has_credentials: bool,
 }
 
 /// Returns all violated guarantees.
@@ -94,16 +115,27 @@
     violations.extend(check_configuration(observations));
     violations.extend(check_retry_budgets(records, &runs, observations));
     violations.extend(check_abandoned(records, &by_id, observations));
+    violations.extend(organisations::check(records, &runs, &by_id, observations));
+    violations.extend(locality::check(records, &runs, observations));
     violations.extend((!observations.recovered).then_some(Violation::NotRecovered));
     violations.extend(observations.process_failures.iter().cloned().map(Violation::ProcessFailure));
     violations
 }
 
 fn parse_runs(observations: &Observations) -> Vec<Run> {
-    let mut runs = Vec::new();
+    let mut runs: Vec<Run> = Vec::new();
     for output in &observations.target_outputs {
         for line in &output.lines {
             let words: Vec<&str> = line.split(' ').collect();
+            match (&words[..], runs.last_mut()) {
+                (["organisation", id, name], Some(run)) if *run.id == **id => {
+                    run.organisation = Some((*name).into());
+                }
+                (["authorization", id], Some(run)) if *run.id == **id => {
+                    run.has_credentials = true;
+                }
+                _ => {}
+            }
             if let ["run", at, id, caller, deadline] = words[..] {
                 runs.push(Run {
                     at_ms: at.parse().unwrap_or(0),
@@ -111,6 +143,8 @@
                     caller: caller.into(),
                     deadline_ms: deadline.parse().unwrap_or(u64::MAX),
                     host: output.host,
+                    organisation: None,
+                    has_credentials: false,
                 });
             }
         }
@@ -309,8 +343,10 @@
         }
     }
     let is_for_service = |record: &&Record| (record.kind == Kind::Abandoned) != (service == "desk");
-    let sent: Vec<u64> =
-        records.iter().filter(is_for_service).map(|record| record.sent_ms).collect();
+    // A request without a key in force or beyond a quota is sent to no target.
+    let may_run = |record: &&Record| !matches!(record.status, 401 | 429);
+    let sent = records.iter().filter(is_for_service).filter(may_run);
+    let sent: Vec<u64> = sent.map(|record| record.sent_ms).collect();
     let count_in_window = |times: &[u64], from: u64| {
         times.iter().filter(|at| **at >= from && **at < from + BUDGET_WINDOW_MS).count() as f64
     };
@@ -376,6 +412,16 @@
             Self::AbandonedCompleted(text) => {
                 write!(f, "abandoned requests ran to completion: {text}")
             }
+            Self::ForwardedCredentials(id) => {
+                write!(f, "{id} reached a target with its caller's credentials")
+            }
+            Self::WrongOrganisation(text)
+            | Self::RanWithoutKey(text)
+            | Self::KnownKeyRefused(text)
+            | Self::QuotaExceeded(text)
+            | Self::RefusedWithinQuota(text)
+            | Self::RanInEvacuated(text)
+            | Self::ColdExceeded(text) => write!(f, "{text}"),
             Self::NotRecovered => {
                 write!(f, "calls did not succeed again in time, or a member list is incomplete")
             }
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use store::{CommitResult, Condition, Write};
 
+use super::organisations::{self, Demand, REVISION_STEP};
 use crate::fleet::{get, has_config_and_members, post, start_standin, wait_until, with_store};
 use crate::ports::free_addresses;
 use crate::process::{self, Process, args_of};
@@ -22,6 +23,12 @@
 
 /// Services of the targets, assigned to the hosts in turn.
 const SERVICES: [&str; 2] = ["desk", "desk-archive"];
+/// Number of data centres, to which the hosts are assigned in turn.
+pub(super) const DATA_CENTRES: usize = 3;
+/// Time after its start for which a target is cold.
+const COLD_START: Duration = Duration::from_secs(3);
+/// Requests per second that a cold target handles. It is below what callers send to each target.
+pub(super) const COLD_PER_SECOND: f64 = 4.0;
 const SLOTS: usize = 8;
 const SERVICE_TIME_MICROS: u64 = 25_000;
 /// Time between two polls of the revisions in force.
@@ -67,6 +74,16 @@
     pub(super) lines: Vec<Box<str>>,
 }
 
+/// A row that requests the evacuation of a data centre.
+#[derive(Debug, Clone)]
+pub(super) struct Evacuation {
+    pub(super) data_centre: usize,
+    /// Time of the store's acknowledgement.
+    pub(super) acked_ms: u64,
+    /// Time from which on the row may be gone.
+    pub(super) until_ms: u64,
+}
+
 /// Observations of the processes.
 #[derive(Debug, Default)]
 pub(super) struct Observations {
@@ -76,6 +93,11 @@
     pub(super) polls: Vec<Poll>,
     /// Revisions that were written, each with the time of the store's acknowledgement.
     pub(super) config_writes: Vec<(u64, u64)>,
+    /// Revisions that operators have tried to write, each with the time of the attempt.
+    pub(super) config_attempts: Vec<(u64, u64)>,
+    pub(super) evacuations: Vec<Evacuation>,
+    /// Time at which all daemons were ready.
+    pub(super) ready_ms: u64,
     /// Unexpected exits and other failures of the processes themselves.
     pub(super) process_failures: Vec<String>,
     pub(super) recovered: bool,
@@ -132,6 +154,13 @@
     revision: u64,
     /// The latest configuration that the store has acknowledged.
     configuration: Option<Write>,
+    /// Whether the configuration has organisations and cold targets.
+    has_organisations: bool,
+    /// The data centre whose evacuation operators request, by number.
+    evacuated: Option<usize>,
+    /// Whether the store has not yet acknowledged the rows of the evacuation.
+    pending_evacuation: bool,
+    demand: Arc<Demand>,
     monitor: Arc<Monitor>,
     monitor_thread: Option<JoinHandle<()>>,
 }
@@ -145,6 +174,25 @@
 impl Mesh {
     /// Starts all processes and waits until all daemons are ready.
     pub fn start(daemons: usize, seed: u64, logs: Option<&Path>) -> Result<Self, Box<str>> {
+        Self::start_hosts(daemons, seed, logs, false)
+    }
+
+    /// Starts all processes, with organisations in the configuration and targets that are cold
+    /// after their start, and waits until all daemons are ready.
+    pub(super) fn start_with_organisations(
+        daemons: usize,
+        seed: u64,
+        logs: Option<&Path>,
+    ) -> Result<Self, Box<str>> {
+        Self::start_hosts(daemons, seed, logs, true)
+    }
+
+    fn start_hosts(
+        daemons: usize,
+        seed: u64,
+        logs: Option<&Path>,
+        has_organisations: bool,
+    ) -> Result<Self, Box<str>> {
         let (store_process, store) = start_standin(seed, None)?;
         let hosts = (0..daemons).map(|number| prepare(number, store, seed));
         let mut mesh = Self {
@@ -156,16 +204,27 @@
             observations: Observations::default(),
             revision: 0,
             configuration: None,
+            has_organisations,
+            evacuated: None,
+            pending_evacuation: false,
+            demand: Arc::default(),
             monitor: Arc::default(),
             monitor_thread: None,
         };
         mesh.observations.services = mesh.hosts.iter().map(|host| host.service.clone()).collect();
+        if has_organisations {
+            let cold_start = COLD_START.as_millis().to_string();
+            for host in &mut mesh.hosts {
+                host.target_args.extend(["--cold-start-ms".into(), cold_start.clone()]);
+            }
+        }
         mesh.configure()?;
         for number in 0..daemons {
             mesh.start_target(number)?;
             mesh.start_daemon(number)?;
         }
         mesh.wait_until_ready()?;
+        mesh.observations.ready_ms = unix_millis();
         mesh.start_monitor();
         Ok(mesh)
     }
@@ -204,6 +263,11 @@
         self.hosts[host].callers
     }
 
+    /// Address of a host's daemon for operators.
+    pub(super) fn admin(&self, host: usize) -> SocketAddr {
+        self.hosts[host].admin
+    }
+
     /// Address at which a host's daemon accepts target announcements.
     pub fn announce(&self, host: usize) -> SocketAddr {
         self.hosts[host].announce
@@ -286,16 +350,23 @@
     }
 
     pub(super) fn has_faults(&self) -> bool {
-        !self.undo.is_empty()
+        !self.undo.is_empty() || self.pending_evacuation
+    }
+
+    /// What callers have to know of the steps of the schedule.
+    pub(super) fn demand(&self) -> Arc<Demand> {
+        self.demand.clone()
     }
 
     fn configure(&mut self) -> Result<(), Box<str>> {
-        let revision = self.revision + 3;
+        let revision = self.revision + REVISION_STEP;
+        self.demand.set_revision(revision);
+        self.observations.config_attempts.push((revision, unix_millis()));
         let route = |prefix: &str, kind: &str, service: &str| {
             json!({
                 "name": format!("r{prefix}"), "prefix": prefix, "kind": kind,
                 "timeout": "5s", "target_latency": "200ms", "priority": 1,
-                "service": service, "max_attempts": 2,
+                "service": service, "max_attempts": 2, "public": prefix == "/slow/",
             })
         };
         let paths = [
@@ -304,12 +375,21 @@
             route("/slow/", "safe", SERVICES[1]),
             route(&format!("/v{revision}/"), "safe", SERVICES[1]),
         ];
-        let services = SERVICES.map(|name| json!({ "name": name, "health_path": "/healthz" }));
-        let config = json!({
+        let mut services = SERVICES.map(|name| json!({ "name": name, "health_path": "/healthz" }));
+        if self.has_organisations {
+            for service in &mut services {
+                service["cold_start"] = format!("{}ms", COLD_START.as_millis()).into();
+                service["cold_per_s"] = COLD_PER_SECOND.into();
+            }
+        }
+        let mut config = json!({
             "version": revision,
             "services": services,
             "virtual_hosts": [{ "hostname": "soak.example", "paths": paths }],
         });
+        if self.has_organisations {
+            config["tenants"] = organisations::tenants(revision);
+        }
         let write = Write {
             key: "op/config".into(),
             condition: Condition::Always,
@@ -338,6 +418,46 @@
         }
     }
 
+    /// Writes the row of the evacuated data centre and deletes those of the others, again until
+    /// the store acknowledges it. Nothing is written while the store has a fault, since waiting
+    /// for its answer would delay other steps.
+    fn write_evacuation(&mut self) {
+        self.pending_evacuation = true;
+        if self.has_store_fault() {
+            return;
+        }
+        let row = |number| json!({ "table": "op", "part": "", "key": format!("evacuate/zone-{number}"), "value": "" });
+        let is_evacuated = |number: &usize| Some(*number) == self.evacuated;
+        let (writes, deletes): (Vec<usize>, Vec<usize>) = (0..DATA_CENTRES).partition(is_evacuated);
+        let rows = |numbers: Vec<usize>| numbers.into_iter().map(row).collect::<Vec<Value>>();
+        let body = json!({ "writes": rows(writes), "deletes": rows(deletes) });
+        let response = post(self.store, "/api/rows-tx", &body);
+        self.pending_evacuation = !response.is_some_and(|response| response["ver"].is_u64());
+        if self.pending_evacuation {
+            return;
+        }
+        self.end_observed_evacuation();
+        let acked_ms = unix_millis();
+        self.observations.evacuations.extend(self.evacuated.map(|data_centre| Evacuation {
+            data_centre,
+            acked_ms,
+            until_ms: u64::MAX,
+        }));
+    }
+
+    /// Whether the store has a fault at present.
+    fn has_store_fault(&self) -> bool {
+        let mut indices = self.undo.iter().map(|(.., index)| *index);
+        indices.any(|index| self.observations.faults[index].location == FaultLocation::Store)
+    }
+
+    /// Records that the row of the evacuated data centre may be gone from now on.
+    fn end_observed_evacuation(&mut self) {
+        if let Some(evacuation) = self.observations.evacuations.last_mut() {
+            evacuation.until_ms = evacuation.until_ms.min(unix_millis());
+        }
+    }
+
     fn start_target(&mut self, host: usize) -> Result<(), Box<str>> {
         let args = self.hosts[host].with_clock(&self.hosts[host].target_args);
         self.hosts[host].target_process = Some(process::start(&args, None)?);
@@ -367,11 +487,19 @@
     }
 
     /// Appends a daemon's output to its log file.
-    fn append_log(&self, host: usize) {
-        let (Some(folder), Some(daemon)) = (&self.logs, &self.hosts[host].daemon) else {
+    fn append_log(&mut self, host: usize) {
+        let Some(daemon) = &self.hosts[host].daemon else {
+            return;
+        };
+        let lines = daemon.lines();
+        if lines.iter().any(|line| line.contains(organisations::KEY_PREFIX)) {
+            let failure = format!("daemon {host} has logged a key");
+            self.observations.process_failures.push(failure);
+        }
+        let Some(folder) = &self.logs else {
             return;
         };
-        let text = daemon.lines().join("\n") + "\n";
+        let text = lines.join("\n") + "\n";
         let path = folder.join(format!("daemon-{host}.log"));
         let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
         let written =
@@ -439,7 +567,7 @@
         ("admin", admin.to_string()),
         ("announce", control.to_string()),
         ("ready", ready.to_string()),
-        ("data-centre", format!("zone-{}", number % 3)),
+        ("data-centre", format!("zone-{}", number % DATA_CENTRES)),
         ("service", service.into()),
         ("target", target_proxy.address().to_string()),
         ("slots", SLOTS.to_string()),
--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -52,6 +52,8 @@
     RestoreStoreLink(usize),
     ResetStore,
     RestoreStore,
+    CoolOrganisation,
+    EndEvacuation,
     Nothing,
 }
 
@@ -170,6 +172,15 @@
                 self.configure()?;
                 return Ok(());
             }
+            HeatOrganisation(index) => {
+                self.demand.set_hot(Some(index));
+                (FaultLocation::Nowhere, step.duration, Undo::CoolOrganisation)
+            }
+            Evacuate(data_centre) => {
+                self.evacuated = Some(data_centre);
+                self.write_evacuation();
+                (FaultLocation::Nowhere, step.duration, Undo::EndEvacuation)
+            }
         };
         let is_planned_stop = matches!(step.fault, StopDaemon(_));
         self.observations.faults.push(InjectedFault {
@@ -228,6 +239,9 @@
     /// as the platform does.
     pub(in crate::soak) fn revert_expired(&mut self, now: Duration) -> Result<(), Box<str>> {
         self.restart_exited_daemons()?;
+        if self.pending_evacuation {
+            self.write_evacuation();
+        }
         let (due, rest) =
             std::mem::take(&mut self.undo).into_iter().partition(|(until, ..)| *until <= now);
         self.undo = rest;
@@ -293,9 +307,17 @@
             Undo::RestoreStoreLink(host) => self.hosts[host].store_proxy.set(proxy::Fault::None),
             Undo::ResetStore => self.reset_store(),
             Undo::RestoreStore => {
+                self.end_observed_evacuation();
                 post(self.store, "/faults", &json!({ "restore": true }));
                 self.reset_store();
                 self.write_configuration_again();
+                self.write_evacuation();
+            }
+            Undo::CoolOrganisation => self.demand.set_hot(None),
+            Undo::EndEvacuation => {
+                self.end_observed_evacuation();
+                self.evacuated = None;
+                self.write_evacuation();
             }
             Undo::Nothing => {}
         }
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use super::host::DATA_CENTRES;
+use super::organisations::ORGANISATIONS;
+
 /// Time over which the steps of a round are spread.
 const ROUND_DURATION: Duration = Duration::from_secs(12);
 /// Steps of a round, without those of links and clocks.
@@ -27,6 +30,13 @@
 /// Time for which a target limits its rate: a limit must be kept from 3 s after it is named,
 /// and requests are counted over 4 s.
 const LIMIT_DURATION: Duration = Duration::from_secs(9);
+/// Time for which an organisation sends many times its usual load.
+const HOT_DURATION: Duration = Duration::from_secs(9);
+/// Time for which a data centre is evacuated. Nothing may be sent there from 5 s on.
+const EVACUATION_DURATION: Duration = Duration::from_secs(12);
+/// Earliest start of an evacuation. It goes on for some seconds after the other faults, since it
+/// need not be in force near faults.
+const EVACUATION_START: Duration = Duration::from_secs(9);
 
 /// A fault with its time.
 #[derive(Debug, Clone)]
@@ -103,6 +113,10 @@
     CutPeer(usize),
     /// Makes the target name the request rate that it accepts. Excuses nothing.
     LimitTarget(usize),
+    /// Makes an organisation, by index, send many times its usual load. Excuses nothing.
+    HeatOrganisation(usize),
+    /// Requests the evacuation of the data centre with this number. Excuses nothing.
+    Evacuate(usize),
     /// Kills daemon and target, sets the host's wall clock back and restarts both.
     SetClockBack(usize),
 }
@@ -147,6 +161,16 @@
             generate_step(|random, hosts| Fault::SendForeignNotice(random.usize(..hosts)))
         }),
     );
+    steps.push(Step {
+        duration: HOT_DURATION,
+        ..generate_step(|random, _| Fault::HeatOrganisation(random.usize(..ORGANISATIONS.len())))
+    });
+    let evacuation = generate_step(|random, _| Fault::Evacuate(random.usize(..DATA_CENTRES)));
+    steps.push(Step {
+        at: EVACUATION_START + evacuation.at / 4,
+        duration: EVACUATION_DURATION,
+        ..evacuation
+    });
     steps
 }
 
--- a/crates/lab/src/tour.rs
+++ b/crates/lab/src/tour.rs
@@ -1,5 +1,6 @@
 //! The tour: runs both deployments at their current sizes, with a few seconds of calls of
-//! each kind, a crash and a drain in between, and prints a report.
+//! each kind, a crash and a drain in between, and prints a report. Then it shows organisations,
+//! one of which exceeds its quota.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use crate::deployment::{lahore, sangh};
 use crate::fleet::{Fleet, Plan};
 use crate::load::{Kind, Load, Record, Summary};
+use crate::soak;
 
 /// Duration of the calls.
 const DURATION: Duration = Duration::from_secs(6);
@@ -27,6 +29,8 @@
     ] {
         has_no_violations &= run_deployment(name, plan, kinds, seed)?;
     }
+    eprintln!("organisations: starting a fleet in which one of them exceeds its quota");
+    has_no_violations &= soak::tour::run(seed)? == 0;
     Ok(has_no_violations)
 }
 
