--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -216,6 +216,7 @@
             let cold_start = COLD_START.as_millis().to_string();
             for host in &mut mesh.hosts {
                 host.target_args.extend(["--cold-start-ms".into(), cold_start.clone()]);
+                host.daemon_args.extend(["--cold-until-configured".into(), "yes".into()]);
             }
         }
         mesh.configure()?;
