--- a/crates/lab/src/soak/tour.rs
+++ b/crates/lab/src/soak/tour.rs
@@ -42,7 +42,7 @@
     let mut observations = mesh.collect();
     observations.recovered = true;
     let violations = check::find_violations(&records, &observations);
-    for violation in &violations {
+    for violation in violations.iter().take(super::MAX_PRINTED) {
         println!("  VIOLATION {violation}");
     }
     Ok(violations.len())
