--- a/crates/member/src/locality.rs
+++ b/crates/member/src/locality.rs
@@ -16,20 +16,19 @@
 /// sends seven a second, which carry updates, so news crosses within some 150 ms.
 const FAR_PING_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval between pings of a far data centre that may be lost, and the number of its members
-/// that are pinged each time. With one member, the loss of a data centre of four was noticed
-/// 0.6 s later than with pings of all members.
+/// that are pinged each time. With one member, the loss of a small data centre is noticed later
+/// than with pings of all members.
 const ALERT_PING_INTERVAL: Duration = Duration::from_millis(500);
 const ALERT_PINGS: usize = 3;
 /// Mean number of members of one data centre that send urgent news to a far member.
 const URGENT_RELAYS: f64 = 8.0;
 /// Mean number of members of one data centre that send a round of reads of the store to a far
 /// member on each tick. Pings carry it as well. A round that arrives late makes daemons read the
-/// store themselves, which costs money. With four, rounds were the greater part of what an idle
-/// fleet of 87 sent to other data centres: 112 datagrams of 390 bytes for each round.
+/// store themselves, which costs money; more relays cost bytes, since rounds are most of what an
+/// idle fleet sends to other data centres.
 const ROUND_RELAYS: f64 = 2.0;
 /// Mean number of members of one data centre that compare lists with a far member each time that
-/// all of them have reason to. With one, the return of a data centre of 20
-/// took 12.0 s instead of 10.7 s; with 16, it takes 10.2 s (means of five).
+/// all of them have reason to. Fewer slow down the return of a data centre after a partition.
 const SYNC_RELAYS: f64 = 16.0;
 /// Mean number of members of one data centre that look for restarted daemons in far ones each time.
 const SEARCH_RELAYS: f64 = 1.0;
--- a/crates/quota/src/fleet.rs
+++ b/crates/quota/src/fleet.rs
@@ -14,8 +14,8 @@
 /// Time after which a host that has met no other member accrues.
 const ALONE: Duration = Duration::from_secs(5);
 /// Time without growth of the number of hosts after which a host that has just started accrues.
-/// When many hosts start at once, their first lists are incomplete. With 1 s, a fleet that had lost
-/// power refused all requests for more than 3 s.
+/// When many hosts start at once, their first lists are incomplete. Until then, requests with a
+/// quota are refused.
 const STEADY: Duration = Duration::from_millis(300);
 /// Time since the first exchange of lists after which a host accrues even if its list grows.
 const STEADY_LIMIT: Duration = Duration::from_secs(10);
