--- a/crates/daemon/src/configuration/tests.rs
+++ b/crates/daemon/src/configuration/tests.rs
@@ -35,6 +35,7 @@
         kernel.register::<router::Message>(names::ROUTER),
         kernel.register::<guard::Message>(names::GUARD),
         kernel.register::<membership::Message>(names::MEMBERSHIP),
+        kernel.register::<quota::Message>(names::QUOTA),
     );
     let (mailbox, _) = kernel::mailbox();
     Task {
