--- a/review/tools-2/kit.rs
+++ b/review/tools-2/kit.rs
@@ -31,8 +31,9 @@
         "await-ready" => await_ready(&flags),
         "server" => server(&flags),
         "crowd" => crowd::run(&flags),
-        "fetch" => fetch(&flags),
-        "flood" => flood(&flags),
+        "contacts" => contacts(&flags),
+        "hot" => hot::run(&flags),
+        "judge-quota" => judge_quota(&flags),
         other => fail(&format!("unknown verb {other:?}")),
     }
 }
@@ -161,98 +162,158 @@
     println!("all daemons are ready");
 }
 
-/// Fetches a page once and prints its status.
-fn fetch(flags: &Flags) {
-    println!("{:?}", call(address(&text(flags, "at")), "GET", &text(flags, "path"), ""));
+/// Prints the addresses in the rows of the table `member`, in which the daemons of the product find
+/// each other.
+fn contacts(flags: &Flags) {
+    let store = address(&text(flags, "store"));
+    let read = || -> Option<String> {
+        let mut stream = TcpStream::connect_timeout(&store, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        let request = "GET /api/rows-get?table=member&part= HTTP/1.1\r\nHost: x\r\n\
+                       Connection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        Some(answer)
+    };
+    let answer = read().unwrap_or_else(|| fail("the store does not answer"));
+    for field in answer.split("\"value\":\"").skip(1) {
+        println!("{}", from_base64(field.split('"').next().unwrap_or_default()));
+    }
 }
 
-/// Clients with kept connections that send requests without a pause, some ahead of the answers,
-/// and open a new connection when theirs is closed. Prints the answers every five seconds.
-fn flood(flags: &Flags) {
-    let to = address(&text(flags, "to"));
-    let (host, path) = (text(flags, "host"), text(flags, "path"));
-    let until = Instant::now() + Duration::from_secs_f64(number(flags, "seconds"));
-    let (connections, ahead) = (number(flags, "connections") as u64, number(flags, "ahead") as u64);
-    let answers: Arc<Mutex<HashMap<u16, u64>>> = Arc::default();
-    for connection in 0..connections {
-        let (host, path, answers) = (host.clone(), path.clone(), answers.clone());
-        thread::spawn(move || {
-            let mut next = connection << 40;
-            loop {
-                let mut own = HashMap::new();
-                let _ = send_batches(to, &host, &path, ahead, &mut next, &mut own, &answers);
-                thread::sleep(Duration::from_millis(100));
-            }
-        });
-    }
-    let started = Instant::now();
-    while Instant::now() < until {
-        thread::sleep(Duration::from_secs(5).min(until - Instant::now()));
-        let answers = answers.lock().expect("no panic");
-        println!("{:.0} s: answers {answers:?}", started.elapsed().as_secs_f64());
+fn from_base64(text: &str) -> String {
+    let digit = |byte: u8| match byte {
+        b'A'..=b'Z' => u32::from(byte - b'A'),
+        b'a'..=b'z' => u32::from(byte - b'a') + 26,
+        b'0'..=b'9' => u32::from(byte - b'0') + 52,
+        b'+' => 62,
+        _ => 63,
+    };
+    let digits: Vec<u32> = text.bytes().filter(|byte| *byte != b'=').map(digit).collect();
+    let mut bytes = Vec::new();
+    for group in digits.chunks(4) {
+        let bits = group.iter().fold(0, |bits, digit| bits << 6 | digit) << (6 * (4 - group.len()));
+        bytes.extend((0..group.len() - 1).map(|index| (bits >> (16 - 8 * index)) as u8));
     }
-    exit(0);
+    String::from_utf8_lossy(&bytes).into_owned()
 }
 
-/// Sends requests in batches on one connection until it fails.
-fn send_batches(
-    to: SocketAddr,
-    host: &str,
-    path: &str,
-    ahead: u64,
-    next: &mut u64,
-    own: &mut HashMap<u16, u64>,
-    answers: &Mutex<HashMap<u16, u64>>,
-) -> Option<()> {
-    let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-    stream.set_nodelay(true).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
-    let mut writer = stream.try_clone().ok()?;
-    let mut reader = BufReader::with_capacity(64 * 1024, stream);
-    loop {
-        let mut batch = String::new();
-        for _ in 0..ahead {
-            *next += 1;
-            batch += &format!(
-                "GET {path}{next} HTTP/1.1\r\nHost: {host}\r\nBronzeport-Request-Id: {next:016x}\r\n\
-                 Bronzeport-Deadline-Ms: 1200\r\n\r\n"
-            );
-        }
-        writer.write_all(batch.as_bytes()).ok()?;
-        for _ in 0..ahead {
-            let (status, length) = read_short_head(&mut reader)?;
-            reader.read_exact(&mut vec![0; length]).ok()?;
-            *own.entry(status).or_default() += 1;
-        }
-        let mut answers = answers.lock().ok()?;
-        for (status, count) in own.drain() {
-            *answers.entry(status).or_default() += count;
+/// Judges QUOTA from the lines `sent MS ID` and `run MS ID TENANT` of the files: the largest number
+/// of a tenant's requests that were both sent and run in a window, against the bound.
+fn judge_quota(flags: &Flags) {
+    let window = number(flags, "window-ms") as u64;
+    let (rate, burst) = (number(flags, "rate"), number(flags, "burst"));
+    let (overshoot, slack) = (number(flags, "overshoot"), number(flags, "slack"));
+    let mut sent: HashMap<String, u64> = HashMap::new();
+    let mut runs: Vec<(String, u64)> = Vec::new();
+    for file in text(flags, "files").split(',') {
+        for line in std::fs::read_to_string(file).unwrap_or_default().lines() {
+            let words: Vec<&str> = line.split(' ').collect();
+            let time = words.get(1).and_then(|time| time.parse().ok());
+            match (words.first(), time) {
+                (Some(&"sent"), Some(time)) => drop(sent.insert(words[2].to_owned(), time)),
+                (Some(&"run"), Some(time)) => runs.push((words[2].to_owned(), time)),
+                _ => {}
+            }
         }
     }
+    let times = runs.iter().filter_map(|(id, run)| Some((*sent.get(id)?, *run)));
+    let mut times: Vec<(u64, u64)> = times.collect();
+    times.sort_unstable();
+    let count = |start: u64| {
+        let within = |(sent, run): &&(u64, u64)| *sent >= start && *run <= start + window;
+        times.iter().filter(within).count()
+    };
+    let starts = times.iter().map(|(sent, _)| *sent);
+    let most = starts.map(|start| (count(start), start)).max().unwrap_or_default();
+    let bound = (rate * window as f64 / 1e3 + burst) * (1.0 + overshoot) + slack;
+    println!(
+        "{} requests sent, {} run; most in {window} ms: {} from {}; bound {bound}",
+        sent.len(),
+        runs.len(),
+        most.0,
+        most.1
+    );
+    let is_broken = most.0 as f64 > bound;
+    println!("{}", if is_broken { "QUOTA is broken" } else { "QUOTA holds" });
+    exit(i32::from(is_broken));
 }
 
-/// Reads the status and the length of the body of an answer.
-fn read_short_head(reader: &mut impl BufRead) -> Option<(u16, usize)> {
-    let mut line = String::new();
-    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
-    let status = status_of(line.trim_end());
-    let mut length = 0;
-    loop {
-        line.clear();
-        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
-        match line.trim_end() {
-            "" => return Some((status, length)),
-            header => {
-                if let Some(value) = header.strip_prefix("content-length: ") {
-                    length = value.parse().ok()?;
-                }
+/// A tenant that sends many times its usual, evenly from clients on all machines.
+mod hot {
+    use super::*;
+
+    /// `--outbound A,A --rate R --seconds S --key K`: sends R requests a second in all and prints
+    /// `sent MS ID` for each, and the number of answers by status at the end.
+    pub(super) fn run(flags: &Flags) {
+        let machines: Vec<SocketAddr> =
+            text(flags, "outbound").split(',').map(address).collect();
+        let rate = number(flags, "rate") / machines.len() as f64;
+        let (seconds, key) = (number(flags, "seconds"), text(flags, "key"));
+        let answers: Arc<Mutex<HashMap<u16, u64>>> = Arc::default();
+        let next = Arc::new(AtomicU64::new(unix_ms() << 20));
+        // Two clients on each machine, which take turns.
+        let clients = machines.iter().flat_map(|machine| [*machine; 2]).enumerate();
+        let threads: Vec<_> = clients
+            .map(|(index, machine)| {
+                let (key, answers, next) = (key.clone(), answers.clone(), next.clone());
+                thread::spawn(move || {
+                    let pause = Duration::from_secs_f64(2.0 / rate);
+                    let started = Instant::now();
+                    let mut due = started + pause.mul_f64(index as f64 * 0.37 % 1.0);
+                    let mut connection = None;
+                    while due < started + Duration::from_secs_f64(seconds) {
+                        thread::sleep(due.saturating_duration_since(Instant::now()));
+                        due += pause;
+                        let id = format!("{:016x}", next.fetch_add(1, Ordering::Relaxed));
+                        println!("sent {} {id}", unix_ms());
+                        let status = ask(&mut connection, machine, &key, &id).unwrap_or(0);
+                        *answers.lock().expect("no panic").entry(status).or_default() += 1;
+                    }
+                })
+            })
+            .collect();
+        for thread in threads {
+            let _ = thread.join();
+        }
+        println!("answers by status (0: none): {:?}", answers.lock().expect("no panic"));
+    }
+
+    /// Sends a request on the kept connection, or on a new one, and returns the status.
+    fn ask(
+        connection: &mut Option<BufReader<TcpStream>>,
+        to: SocketAddr,
+        key: &str,
+        id: &str,
+    ) -> Option<u16> {
+        let mut reader = match connection.take() {
+            Some(reader) => reader,
+            None => {
+                let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+                stream.set_nodelay(true).ok()?;
+                stream.set_read_timeout(Some(Duration::from_millis(1200))).ok()?;
+                BufReader::new(stream)
             }
+        };
+        let request = format!(
+            "GET /read/{id} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer {key}\r\n\
+             Bronzeport-Request-Id: {id}\r\nBronzeport-Deadline-Ms: 1200\r\n\r\n"
+        );
+        reader.get_mut().write_all(request.as_bytes()).ok()?;
+        let (first, headers) = read_head(&mut reader)?;
+        let length = headers.get("content-length").and_then(|length| length.parse().ok());
+        reader.read_exact(&mut vec![0; length.unwrap_or(0)]).ok()?;
+        if headers.get("connection").is_none_or(|value| value != "close") {
+            *connection = Some(reader);
         }
+        Some(status_of(&first))
     }
 }
 
 /// A back end: announces itself to the daemon beside it, answers its health page and runs
-/// requests, at most `slots` at a time; it rejects others as one that is full does.
+/// requests, at most `slots` at a time; it rejects others as one that is full does. It prints a
+/// line `run MS ID TENANT` when it begins to work on a request.
 fn server(flags: &Flags) {
     let listen = text(flags, "listen");
     let (id, service) = (text(flags, "id"), text(flags, "service"));
@@ -313,6 +374,8 @@
                 load()
             )
         } else {
+            let tenant = headers.get("bronzeport-tenant-id").map_or("-", |tenant| tenant);
+            println!("run {} {request} {tenant}", unix_ms());
             thread::sleep(work);
             running.fetch_sub(1, Ordering::Relaxed);
             format!(
