--- a/review/tools-2/kit.rs
+++ b/review/tools-2/kit.rs
@@ -31,6 +31,8 @@
         "await-ready" => await_ready(&flags),
         "server" => server(&flags),
         "crowd" => crowd::run(&flags),
+        "reset-proxy" => reset_proxy(&flags),
+        "probe" => probe(&flags),
         "contacts" => contacts(&flags),
         "hot" => hot::run(&flags),
         "judge-quota" => judge_quota(&flags),
@@ -162,6 +164,70 @@
     println!("all daemons are ready");
 }
 
+/// Passes connections on, in both directions. While the file `--reset F` exists, it closes all of
+/// them and each new one at once.
+fn reset_proxy(flags: &Flags) {
+    let listener =
+        TcpListener::bind(text(flags, "listen")).unwrap_or_else(|_| fail("the port is not free"));
+    let (to, file) = (address(&text(flags, "to")), text(flags, "reset"));
+    let is_down = move || std::path::Path::new(&file).exists();
+    for client in listener.incoming().flatten() {
+        if is_down() {
+            continue;
+        }
+        let Ok(server) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else { continue };
+        let is_down = is_down.clone();
+        thread::spawn(move || {
+            for (from, into) in [(&client, &server), (&server, &client)] {
+                if let (Ok(mut from), Ok(mut into)) = (from.try_clone(), into.try_clone()) {
+                    thread::spawn(move || {
+                        let _ = std::io::copy(&mut from, &mut into);
+                        let _ = into.shutdown(std::net::Shutdown::Both);
+                    });
+                }
+            }
+            while !is_down() {
+                thread::sleep(Duration::from_millis(5));
+            }
+            for stream in [&client, &server] {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        });
+    }
+}
+
+/// Clients of one machine on a route that the newest version has dropped or moved: sends a request
+/// each 50 ms to `--to` for `--seconds S` and prints `asked MS STATUS BODY`. The back ends answer
+/// with the name of their service.
+fn probe(flags: &Flags) {
+    let to = address(&text(flags, "to"));
+    let path = text(flags, "path");
+    let until = Instant::now() + Duration::from_secs_f64(number(flags, "seconds"));
+    let mut next = unix_ms() << 20;
+    while Instant::now() < until {
+        next += 1;
+        let asked = unix_ms();
+        let ask = || -> Option<(u16, String)> {
+            let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+            stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+            let request = format!(
+                "GET {path} HTTP/1.1\r\nHost: a.example\r\nBronzeport-Request-Id: {next:016x}\r\n\
+                 Bronzeport-Deadline-Ms: 500\r\nConnection: close\r\n\r\n"
+            );
+            stream.write_all(request.as_bytes()).ok()?;
+            let mut reader = BufReader::new(stream);
+            let (first, headers) = read_head(&mut reader)?;
+            let length = headers.get("content-length").and_then(|length| length.parse().ok());
+            let mut body = vec![0; length.unwrap_or(0)];
+            reader.read_exact(&mut body).ok()?;
+            Some((status_of(&first), String::from_utf8_lossy(&body).trim().replace(' ', "_")))
+        };
+        let (status, body) = ask().unwrap_or_default();
+        println!("asked {asked} {status} {body}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// Prints the addresses in the rows of the table `member`, in which the daemons of the product find
 /// each other.
 fn contacts(flags: &Flags) {
