--- a/review/tools-2/kit.rs
+++ b/review/tools-2/kit.rs
@@ -313,8 +313,7 @@
     /// `--outbound A,A --rate R --seconds S --key K`: sends R requests a second in all and prints
     /// `sent MS ID` for each, and the number of answers by status at the end.
     pub(super) fn run(flags: &Flags) {
-        let machines: Vec<SocketAddr> =
-            text(flags, "outbound").split(',').map(address).collect();
+        let machines: Vec<SocketAddr> = text(flags, "outbound").split(',').map(address).collect();
         let rate = number(flags, "rate") / machines.len() as f64;
         let (seconds, key) = (number(flags, "seconds"), text(flags, "key"));
         let answers: Arc<Mutex<HashMap<u16, u64>>> = Arc::default();
@@ -559,8 +558,7 @@
     /// from T on only machine I is there; the clients go on at it. T of 0: none is removed.
     /// The script that runs this ends the processes; `--go F` is the file that tells it to.
     pub(super) fn run(flags: &Flags) {
-        let machines: Vec<SocketAddr> =
-            text(flags, "outbound").split(',').map(address).collect();
+        let machines: Vec<SocketAddr> = text(flags, "outbound").split(',').map(address).collect();
         let ready: Vec<SocketAddr> = text(flags, "ready").split(',').map(address).collect();
         let stays = number(flags, "stays") as usize;
         let remove_at = number(flags, "remove-at");
@@ -616,11 +614,13 @@
     fn check_readiness(started: Instant, ready: SocketAddr) -> Arc<Mutex<Vec<(f64, Option<u16>)>>> {
         let checks = Arc::new(Mutex::new(Vec::new()));
         let results = checks.clone();
-        thread::spawn(move || loop {
-            let at = started.elapsed().as_secs_f64();
-            let status = call(ready, "GET", "/api/readyz", "");
-            results.lock().expect("no panic").push((at, status));
-            thread::sleep(Duration::from_secs(1));
+        thread::spawn(move || {
+            loop {
+                let at = started.elapsed().as_secs_f64();
+                let status = call(ready, "GET", "/api/readyz", "");
+                results.lock().expect("no panic").push((at, status));
+                thread::sleep(Duration::from_secs(1));
+            }
         });
         checks
     }
@@ -648,7 +648,14 @@
 
         /// Sends a request: on an idle connection of the client, or on a new one. A retry is
         /// sent on a new connection.
-        fn begin(&mut self, now: Instant, client: usize, kind: Kind, deadline: Instant, is_retry: bool) {
+        fn begin(
+            &mut self,
+            now: Instant,
+            client: usize,
+            kind: Kind,
+            deadline: Instant,
+            is_retry: bool,
+        ) {
             let to = self.machines[client % self.machines.len()];
             let mut idle = None;
             while !is_retry && idle.is_none() {
@@ -671,8 +678,7 @@
             let stream = idle.or_else(connect).filter(|stream| {
                 let mut stream = stream;
                 let _ = stream.set_nodelay(true);
-                stream.write_all(request.as_bytes()).is_ok()
-                    && stream.set_nonblocking(true).is_ok()
+                stream.write_all(request.as_bytes()).is_ok() && stream.set_nonblocking(true).is_ok()
             });
             let Some(stream) = stream else {
                 self.count(now, "no connection");
