Guard: log and count what each notice of a target changes

Each notice that changes something or is stale is now a line with its kind, start time, sequence, state and effect; the health page is a line when what it says changes; notices are counted by kind and effect.

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -85,6 +85,11 @@
         self.current.as_ref().is_some_and(|current| !current.is_leaving)
     }
 
+    /// Number of departed processes that are remembered.
+    pub fn departure_count(&self) -> usize {
+        self.departed.len()
+    }
+
     /// Applies a notice from a target.
     pub fn apply(&mut self, notice: Notice) -> NoticeEffect {
         match notice {
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -8,6 +8,7 @@
 mod duplicates;
 mod evacuation;
 mod job;
+mod notice_log;
 mod rate_limit;
 mod target_state;
 mod task;
@@ -209,6 +210,7 @@
         waiting_duplicates: HashMap::new(),
         crash_tickets: HashSet::new(),
         last_health_check: None,
+        page_state: None,
         rate_observer: RateObserver::default(),
     };
     task.limit_connections();
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -12,6 +12,7 @@
 use wire::{Reason, Request};
 
 use super::job::{Job, Stage};
+use super::notice_log::{self, Description, PageState};
 use super::rate_limit::RateObserver;
 use super::task::Task;
 use super::{DOWN_CHECK_INTERVAL, DueHealthCheck, MAX_REPORT_AGE, Message, PaceReport};
@@ -229,6 +230,11 @@
     /// only source of information.
     pub(super) fn apply_health_page(&mut self, answer: TargetAnswer) {
         let now = self.now();
+        let state = PageState::of(&answer);
+        if self.page_state.as_ref() != Some(&state) {
+            state.record();
+            self.page_state = Some(state);
+        }
         let found = answer.instance.as_deref().zip(answer.report);
         let found = found.filter(|_| answer.status == 200);
         if let Some((instance, _)) = found {
@@ -275,12 +281,13 @@
         let Some(registration) = &mut self.registration else {
             return NoticeEffect::Stale;
         };
-        let description = describe_notice(&notice);
+        let description = Description::of(&notice);
         let cold_remaining = match &notice {
             Notice::Announced(announcement) => announcement.cold_remaining,
             Notice::Deregistered { .. } => Duration::ZERO,
         };
         let effect = registration.apply(notice);
+        notice_log::record(&description, effect, registration);
         if effect == NoticeEffect::Started {
             self.serve_new_process();
         }
@@ -301,7 +308,8 @@
                 metrics::counter!("bronzeport_foreign_notices_total").increment(1);
                 log::warn!(
                     target: "daemon::guard::belief",
-                    "a notice of {description} is refused: it is not the target of the settings"
+                    "a notice of {} is refused: it is not the target of the settings",
+                    description.process
                 );
             }
         }
@@ -317,6 +325,13 @@
         if let Some(registration) = &mut self.registration
             && registration.leave(&target.identity().instance) == NoticeEffect::Leaving
         {
+            if !self.controller.is_leaving() {
+                log::info!(
+                    target: "daemon::guard::belief",
+                    "an answer of {} ({source:?}) states that it is leaving",
+                    target.identity().instance
+                );
+            }
             self.stop_admitting();
         }
     }
@@ -441,13 +456,3 @@
         });
     }
 }
-
-/// Describes the process of a notice, which may come from any writer, in a bounded length.
-fn describe_notice(notice: &Notice) -> String {
-    match notice {
-        Notice::Announced(Announcement { instance, service, address, .. }) => {
-            format!("{instance:.64} of {service:.64} at {address}")
-        }
-        Notice::Deregistered { instance, .. } => format!("{instance:.64}"),
-    }
-}
--- a/crates/daemon/src/guard/task.rs
+++ b/crates/daemon/src/guard/task.rs
@@ -18,6 +18,7 @@
 use wire::{Answer, Outcome, Reason, Request};
 
 use super::job::{Job, Stage};
+use super::notice_log::PageState;
 use super::rate_limit::RateObserver;
 use super::{Message, PaceReport, Status};
 use crate::adapter::{ExecutionStatus, ProtocolAdapter, TargetAnswer};
@@ -83,6 +84,8 @@
     /// Their failures belong to that crash.
     pub(super) crash_tickets: HashSet<Ticket>,
     pub(super) last_health_check: Option<Instant>,
+    /// What the health page said last.
+    pub(super) page_state: Option<PageState>,
     pub(super) rate_observer: RateObserver,
 }
 
