Tests: a late heartbeat registers a target again that has deregistered

The stand-in target can deregister without announcing that it leaves, and a heartbeat of before can arrive late.

--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -67,6 +67,10 @@
     pace: Cell<f64>,
     failure_mode: RefCell<Box<str>>,
     is_leaving: Cell<bool>,
+    /// Whether the target leaves by a deregistration alone, without announcing it before.
+    deregisters: Cell<bool>,
+    /// Sequence number of the latest heartbeat.
+    sequence: Cell<u64>,
     /// Whether answers say that the target is leaving, before it announces that.
     states_leaving: Cell<bool>,
     /// Requests per second that the answers name as the accepted rate.
@@ -93,6 +97,8 @@
         pace: Cell::new(1.0),
         failure_mode: RefCell::default(),
         is_leaving: Cell::new(false),
+        deregisters: Cell::new(false),
+        sequence: Cell::new(0),
         states_leaving: Cell::new(false),
         rate_limit: Cell::new(None),
         is_limit_on_page: Cell::new(true),
@@ -120,14 +126,22 @@
 impl Target {
     async fn announce(&self) {
         let client = Client::new(self.kernel.clone(), self.settings.control, 1);
-        let (mut sequence, mut is_acked) = (0, false);
+        let mut is_acked = false;
         loop {
-            sequence += 1;
             let is_leaving = self.is_leaving.get();
-            let sending = client.send(self.heartbeat(sequence, is_leaving), Reuse::Allowed);
-            let sent = self.kernel.clock().timeout(HEARTBEAT_TIMEOUT, sending).await;
-            let is_success = matches!(&sent, Ok(Ok(response)) if response.status().is_success());
-            if is_success && is_leaving && !is_acked {
+            let notice = match self.deregisters.get() {
+                true if is_acked => None,
+                true => Some(self.deregistration()),
+                false => {
+                    self.sequence.set(self.sequence.get() + 1);
+                    Some(self.heartbeat(self.sequence.get(), is_leaving))
+                }
+            };
+            if let Some(notice) = notice
+                && self.send(&client, notice).await
+                && is_leaving
+                && !is_acked
+            {
                 is_acked = true;
                 print_line(&format!("acked {}", unix_millis()));
             }
@@ -135,6 +149,33 @@
         }
     }
 
+    /// Sends a notice and returns whether the daemon has acknowledged it.
+    async fn send(&self, client: &Client, notice: Request<Bytes>) -> bool {
+        let sending = client.send(notice, Reuse::Allowed);
+        let sent = self.kernel.clock().timeout(HEARTBEAT_TIMEOUT, sending).await;
+        matches!(&sent, Ok(Ok(response)) if response.status().is_success())
+    }
+
+    /// Sends a heartbeat that was sent before the target began to leave and has been under way
+    /// since then.
+    async fn send_late_heartbeat(&self, delay: Duration) {
+        self.sequence.set(self.sequence.get() + 1);
+        let heartbeat = self.heartbeat(self.sequence.get(), false);
+        self.kernel.clock().sleep(delay).await;
+        let client = Client::new(self.kernel.clone(), self.settings.control, 1);
+        self.send(&client, heartbeat).await;
+    }
+
+    /// A deregistration, which names nothing but the instance.
+    fn deregistration(&self) -> Request<Bytes> {
+        Request::builder()
+            .method("POST")
+            .uri(format!("/api/Instances.Deregister/{}", self.instance))
+            .header("host", "daemon")
+            .body(Bytes::new())
+            .expect("a valid request")
+    }
+
     fn heartbeat(&self, sequence: u64, is_leaving: bool) -> Request<Bytes> {
         let body = json!({
             "address": self.settings.announced.to_string(),
@@ -174,7 +215,7 @@
         let body = request.body.unwrap_or_default();
         let path = head.uri.path().to_owned();
         if path == "/lab" {
-            self.set_behaviour(&body);
+            self.clone().set_behaviour(&body);
             return self.answer(StatusCode::OK, "", Bytes::new());
         }
         if path == "/healthz" {
@@ -265,7 +306,7 @@
         response
     }
 
-    fn set_behaviour(&self, body: &[u8]) {
+    fn set_behaviour(self: Rc<Self>, body: &[u8]) {
         let value: Value = serde_json::from_slice(body).unwrap_or_default();
         if let Some(pace) = value["pace"].as_f64() {
             self.pace.set(pace);
@@ -289,6 +330,15 @@
         if value["leave"] == true {
             self.is_leaving.set(true);
         }
+        if value["deregister"] == true {
+            self.is_leaving.set(true);
+            self.deregisters.set(true);
+        }
+        if let Some(delay) = value["late_heartbeat_ms"].as_u64() {
+            let target = self.clone();
+            let delay = Duration::from_millis(delay);
+            self.kernel.start(async move { target.send_late_heartbeat(delay).await });
+        }
     }
 }
 
