Registration: a departure without a start time covers late heartbeats

Cause: a deregistration has no body, so that the start time of its process is unknown. Where the daemon had just started and no process was registered yet, the departure was remembered with the start time 0, and 0 covered no announcement with a start time: it might have been one of a later process with the same instance id. The heartbeat that arrived some 2.6 s late registered the process again. The same held for a process that only the health page had described when it was removed.

Change: start times are optional. A departure takes the start time of the process that is registered. Where that is unknown too, it covers every announcement of the instance id for 10 s, the longest time that a notice is under way, and takes the start time of the first one if the process was registered; an announcement after that comes from a later process. What the health page states about leaving is remembered before a process is registered.

Ruled out: the wall clock (clocks are set back, and a process may have started before), and keeping the id out for good (an id can be used again).

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -3,11 +3,14 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum number of departed processes that are remembered, so that notices from
 /// them that arrive late are recognised as stale.
 const MAX_DEPARTED: usize = 32;
+/// Longest time for which a notice may be under way. One that arrives later was sent after
+/// whatever was known at its start.
+const MAX_NOTICE_DELAY: Duration = Duration::from_secs(10);
 
 /// A notice that a target sends.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,8 +21,8 @@
     Deregistered {
         /// Instance id of the process that is leaving.
         instance: Box<str>,
-        /// Start time of that process, as in [`Announcement::started`]; 0 if unknown.
-        started: u64,
+        /// Start time of that process, as in [`Announcement::started`].
+        started: Option<u64>,
     },
 }
 
@@ -36,8 +39,8 @@
     pub slots: u16,
     /// Whether the target no longer accepts new requests.
     pub is_leaving: bool,
-    /// Start time of the process in Unix milliseconds; 0 if unknown.
-    pub started: u64,
+    /// Start time of the process in Unix milliseconds; `None` if unknown.
+    pub started: Option<u64>,
     /// Increases with each announcement of one process.
     pub sequence: u64,
     /// How much longer the target is slow after its start.
@@ -65,7 +68,16 @@
     /// Service and address that an announcement must have; `None` accepts any.
     expected: Option<(Box<str>, SocketAddr)>,
     current: Option<Announcement>,
-    departed: VecDeque<(Box<str>, u64)>,
+    departed: VecDeque<Departure>,
+}
+
+/// A process that has left.
+#[derive(Debug)]
+struct Departure {
+    instance: Box<str>,
+    started: Option<u64>,
+    /// Time at which the departure was last stated.
+    at: Instant,
 }
 
 impl Registration {
@@ -91,57 +103,65 @@
     }
 
     /// Applies a notice from a target.
-    pub fn apply(&mut self, notice: Notice) -> NoticeEffect {
+    pub fn apply(&mut self, now: Instant, notice: Notice) -> NoticeEffect {
         match notice {
             Notice::Announced(announcement) if self.is_foreign(&announcement) => {
                 NoticeEffect::Foreign
             }
-            Notice::Announced(announcement) => self.apply_announcement(announcement),
-            Notice::Deregistered { instance, started } => self.apply_departure(instance, started),
+            Notice::Announced(announcement) => self.apply_announcement(now, announcement),
+            Notice::Deregistered { instance, started } => {
+                self.apply_departure(now, instance, started)
+            }
         }
     }
 
     /// Applies the description from a target's health page. It is used only while no
     /// process is registered.
-    pub fn apply_health_page(&mut self, announcement: Announcement) -> NoticeEffect {
+    pub fn apply_health_page(&mut self, now: Instant, announcement: Announcement) -> NoticeEffect {
         match self.current {
             Some(_) => NoticeEffect::Stale,
-            None => self.apply_announcement(announcement),
+            None => self.apply_announcement(now, announcement),
         }
     }
 
     /// Records that the process with this instance id states that it is leaving.
-    pub fn leave(&mut self, instance: &str) -> NoticeEffect {
+    pub fn leave(&mut self, now: Instant, instance: &str) -> NoticeEffect {
         match &mut self.current {
             Some(current) if *current.instance == *instance => {
                 current.is_leaving = true;
                 NoticeEffect::Leaving
             }
-            _ => NoticeEffect::Stale,
+            Some(_) => NoticeEffect::Stale,
+            None => {
+                self.record_departure(now, instance.into(), None);
+                NoticeEffect::Stale
+            }
         }
     }
 
     /// Removes the process with this instance id, because its address now belongs to
     /// another target. No process is registered until the next notice. Returns whether
     /// `instance` was registered.
-    pub fn remove(&mut self, instance: &str) -> bool {
+    pub fn remove(&mut self, now: Instant, instance: &str) -> bool {
         let is_current =
             self.current.as_ref().is_some_and(|current| *current.instance == *instance);
         if let Some(current) = self.current.take_if(|_| is_current) {
-            self.record_departure(current.instance, current.started);
+            self.record_departure(now, current.instance, current.started);
         }
         is_current
     }
 
-    fn apply_announcement(&mut self, announcement: Announcement) -> NoticeEffect {
-        if self.is_stale(&announcement) {
+    fn apply_announcement(&mut self, now: Instant, announcement: Announcement) -> NoticeEffect {
+        if self.is_stale(now, &announcement) {
             return NoticeEffect::Stale;
         }
-        let is_same =
-            self.current.as_ref().is_some_and(|known| is_same_process(known, &announcement));
+        let is_same = self.is_current_process(now, &announcement);
         let was_leaving = is_same && self.current.as_ref().is_some_and(|known| known.is_leaving);
         // A process that is leaving does not become available again.
         let is_leaving = announcement.is_leaving || was_leaving;
+        if is_same {
+            self.complete_departure(&announcement);
+        }
         self.current = Some(Announcement { is_leaving, ..announcement });
         match (is_same, is_leaving) {
             (_, true) => NoticeEffect::Leaving,
@@ -150,17 +170,24 @@
         }
     }
 
-    fn apply_departure(&mut self, instance: Box<str>, started: u64) -> NoticeEffect {
-        self.record_departure(instance.clone(), started);
-        match &mut self.current {
-            Some(current)
-                if current.instance == instance && start_times_match(current.started, started) =>
-            {
+    fn apply_departure(
+        &mut self,
+        now: Instant,
+        instance: Box<str>,
+        started: Option<u64>,
+    ) -> NoticeEffect {
+        let is_registered = |current: &&mut Announcement| {
+            current.instance == instance && start_times_match(current.started, started)
+        };
+        let (started, effect) = match self.current.as_mut().filter(is_registered) {
+            Some(current) => {
                 current.is_leaving = true;
-                NoticeEffect::Leaving
+                (started.or(current.started), NoticeEffect::Leaving)
             }
-            _ => NoticeEffect::Stale,
-        }
+            None => (started, NoticeEffect::Stale),
+        };
+        self.record_departure(now, instance, started);
+        effect
     }
 
     fn is_foreign(&self, announcement: &Announcement) -> bool {
@@ -169,12 +196,10 @@
         })
     }
 
-    fn is_stale(&self, announcement: &Announcement) -> bool {
-        let has_departed = self.departed.iter().any(|(instance, started)| {
-            *instance == announcement.instance && departure_covers(*started, announcement.started)
-        });
-        let is_current =
-            self.current.as_ref().is_some_and(|known| is_same_process(known, announcement));
+    fn is_stale(&self, now: Instant, announcement: &Announcement) -> bool {
+        let is_current = self.is_current_process(now, announcement);
+        let has_departed =
+            self.departed.iter().any(|departure| departure.covers(now, announcement));
         if has_departed && !is_current {
             return true;
         }
@@ -183,30 +208,70 @@
         };
         match is_current {
             true => announcement.sequence < known.sequence,
-            false => announcement.started != 0 && announcement.started < known.started,
+            false => {
+                let starts = announcement.started.zip(known.started);
+                starts.is_some_and(|(announced, known)| announced < known)
+            }
         }
     }
 
-    fn record_departure(&mut self, instance: Box<str>, started: u64) {
+    /// Whether an announcement comes from the registered process.
+    fn is_current_process(&self, now: Instant, announcement: &Announcement) -> bool {
+        let Some(known) = &self.current else {
+            return false;
+        };
+        if known.instance != announcement.instance {
+            return false;
+        }
+        let has_left = known.started.is_none()
+            && self.departed.iter().any(|departure| departure.precedes(now, announcement));
+        start_times_match(known.started, announcement.started) && !has_left
+    }
+
+    /// Adds the start time of the registered process to its departure, if that has none.
+    fn complete_departure(&mut self, announcement: &Announcement) {
+        let is_incomplete = |departure: &&mut Departure| {
+            departure.instance == announcement.instance && departure.started.is_none()
+        };
+        for departure in self.departed.iter_mut().filter(is_incomplete) {
+            departure.started = announcement.started;
+        }
+    }
+
+    fn record_departure(&mut self, now: Instant, instance: Box<str>, started: Option<u64>) {
+        self.departed.retain(|known| (&known.instance, known.started) != (&instance, started));
         if self.departed.len() == MAX_DEPARTED {
             self.departed.pop_front();
         }
-        self.departed.push_back((instance, started));
+        self.departed.push_back(Departure { instance, started, at: now });
     }
 }
 
-fn is_same_process(one: &Announcement, other: &Announcement) -> bool {
-    one.instance == other.instance && start_times_match(one.started, other.started)
-}
+impl Departure {
+    /// Whether an announcement comes from the process that has left. If the start time of
+    /// that process is unknown, a late announcement of it cannot be told from one of a later
+    /// process with the same instance id, so that both are covered as long as one may be under
+    /// way.
+    fn covers(&self, now: Instant, announcement: &Announcement) -> bool {
+        self.instance == announcement.instance
+            && match (self.started, announcement.started) {
+                (Some(departed), Some(announced)) => departed == announced,
+                (None, Some(_)) => now - self.at < MAX_NOTICE_DELAY,
+                (_, None) => true,
+            }
+    }
 
-/// Whether two start times are equal. An unknown time (0) matches any other.
-fn start_times_match(one: u64, other: u64) -> bool {
-    one == other || one == 0 || other == 0
+    /// Whether an announcement with a start time comes from a later process with the instance id
+    /// of the one that has left without one.
+    fn precedes(&self, now: Instant, announcement: &Announcement) -> bool {
+        self.instance == announcement.instance
+            && self.started.is_none()
+            && announcement.started.is_some()
+            && !self.covers(now, announcement)
+    }
 }
 
-/// Whether the departure of a process that started at `departed` also applies to an
-/// announcement with the start time `announced`. If only the time at the departure is
-/// unknown, the announcement may come from a later process with the same instance id.
-fn departure_covers(departed: u64, announced: u64) -> bool {
-    departed == announced || announced == 0
+/// Whether two start times are equal. An unknown time matches any other.
+fn start_times_match(one: Option<u64>, other: Option<u64>) -> bool {
+    one.zip(other).is_none_or(|(one, other)| one == other)
 }
--- a/crates/admit/tests/standing.rs
+++ b/crates/admit/tests/standing.rs
@@ -1,7 +1,7 @@
 //! Which target process is registered when notices arrive late, twice, or from another
 //! process.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use admit::{Announcement, Notice, NoticeEffect, Registration};
 use quickcheck::quickcheck;
@@ -13,7 +13,7 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         slots: 9,
         is_leaving: false,
-        started,
+        started: (started != 0).then_some(started),
         sequence,
         cold_remaining: Duration::ZERO,
     }
@@ -24,77 +24,211 @@
 }
 
 fn deregistered(instance: &str, started: u64) -> Notice {
-    Notice::Deregistered { instance: instance.into(), started }
+    Notice::Deregistered { instance: instance.into(), started: (started != 0).then_some(started) }
 }
 
 #[test]
 fn target_accepts_requests_from_first_notice_until_it_leaves() {
+    let now = Instant::now();
     let mut registration = Registration::default();
     assert!(!registration.accepts_requests());
-    assert_eq!(registration.apply(Notice::Announced(running("a", 1, 1))), NoticeEffect::Started);
-    assert_eq!(registration.apply(Notice::Announced(running("a", 1, 2))), NoticeEffect::Confirmed);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 1, 1))),
+        NoticeEffect::Started
+    );
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 1, 2))),
+        NoticeEffect::Confirmed
+    );
     assert!(registration.accepts_requests());
-    assert_eq!(registration.apply(Notice::Announced(leaving("a", 1, 3))), NoticeEffect::Leaving);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(leaving("a", 1, 3))),
+        NoticeEffect::Leaving
+    );
     assert!(!registration.accepts_requests());
-    assert_eq!(registration.apply(deregistered("a", 1)), NoticeEffect::Leaving);
+    assert_eq!(registration.apply(now, deregistered("a", 1)), NoticeEffect::Leaving);
 }
 
 #[test]
 fn notice_sent_before_departure_does_not_reactivate_target() {
+    let now = Instant::now();
     let mut registration = Registration::default();
-    registration.apply(Notice::Announced(running("a", 1, 5)));
+    registration.apply(now, Notice::Announced(running("a", 1, 5)));
     assert_eq!(
-        registration.apply(deregistered("a", 0)),
+        registration.apply(now, deregistered("a", 0)),
         NoticeEffect::Leaving,
         "the deregistration may omit the start time"
     );
-    assert_ne!(registration.apply(Notice::Announced(running("a", 1, 6))), NoticeEffect::Confirmed);
+    assert_ne!(
+        registration.apply(now, Notice::Announced(running("a", 1, 6))),
+        NoticeEffect::Confirmed
+    );
     assert!(!registration.accepts_requests());
 }
 
 #[test]
 fn late_notice_from_earlier_process_does_not_replace_newer_one() {
+    let now = Instant::now();
     let mut registration = Registration::default();
-    registration.apply(Notice::Announced(running("a", 1, 9)));
-    assert_eq!(registration.apply(Notice::Announced(running("b", 2, 1))), NoticeEffect::Started);
-    assert_eq!(registration.apply(Notice::Announced(running("a", 1, 10))), NoticeEffect::Stale);
-    assert_eq!(registration.apply(deregistered("a", 1)), NoticeEffect::Stale);
+    registration.apply(now, Notice::Announced(running("a", 1, 9)));
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("b", 2, 1))),
+        NoticeEffect::Started
+    );
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 1, 10))),
+        NoticeEffect::Stale
+    );
+    assert_eq!(registration.apply(now, deregistered("a", 1)), NoticeEffect::Stale);
     assert!(registration.accepts_requests());
     assert_eq!(registration.current().map(|current| &*current.instance), Some("b"));
 }
 
 #[test]
 fn new_process_with_same_instance_id_restarts_the_sequence() {
+    let now = Instant::now();
     let mut registration = Registration::default();
-    registration.apply(Notice::Announced(running("a", 1, 9)));
-    registration.apply(deregistered("a", 1));
-    assert_eq!(registration.apply(Notice::Announced(running("a", 2, 1))), NoticeEffect::Started);
+    registration.apply(now, Notice::Announced(running("a", 1, 9)));
+    registration.apply(now, deregistered("a", 1));
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 2, 1))),
+        NoticeEffect::Started
+    );
     assert!(registration.accepts_requests());
-    assert_eq!(registration.apply(Notice::Announced(leaving("a", 1, 10))), NoticeEffect::Stale);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(leaving("a", 1, 10))),
+        NoticeEffect::Stale
+    );
     assert!(registration.accepts_requests());
 }
 
 #[test]
 fn health_page_is_used_until_the_target_sends_a_notice() {
+    let now = Instant::now();
     let mut registration = Registration::default();
-    assert_eq!(registration.apply_health_page(running("a", 0, 0)), NoticeEffect::Started);
-    assert_eq!(registration.apply(Notice::Announced(running("a", 7, 3))), NoticeEffect::Confirmed);
-    assert_eq!(registration.apply_health_page(running("b", 0, 0)), NoticeEffect::Stale);
-    assert!(registration.remove("a"));
+    assert_eq!(registration.apply_health_page(now, running("a", 0, 0)), NoticeEffect::Started);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 7, 3))),
+        NoticeEffect::Confirmed
+    );
+    assert_eq!(registration.apply_health_page(now, running("b", 0, 0)), NoticeEffect::Stale);
+    assert!(registration.remove(now, "a"));
     assert!(!registration.accepts_requests());
     assert_eq!(
-        registration.apply(Notice::Announced(running("a", 7, 4))),
+        registration.apply(now, Notice::Announced(running("a", 7, 4))),
         NoticeEffect::Stale,
         "the process was removed"
     );
-    assert_eq!(registration.apply(Notice::Announced(running("b", 8, 1))), NoticeEffect::Started);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("b", 8, 1))),
+        NoticeEffect::Started
+    );
+}
+
+/// Longer than any notice is under way.
+const LATER: Duration = Duration::from_secs(10);
+
+/// Issue 46: the deregistration of a process that was not registered yet, without its start
+/// time, did not keep a late heartbeat of that process from registering it.
+#[test]
+fn late_heartbeat_does_not_register_a_process_whose_departure_came_first() {
+    let now = Instant::now();
+    let mut registration = Registration::default();
+    assert_eq!(registration.apply(now, deregistered("a", 0)), NoticeEffect::Stale);
+    let late = Notice::Announced(running("a", 7, 14));
+    assert_eq!(registration.apply(now, late.clone()), NoticeEffect::Stale);
+    assert_eq!(registration.apply_health_page(now, running("a", 0, 0)), NoticeEffect::Stale);
+    assert!(!registration.accepts_requests());
+    let other = Notice::Announced(running("b", 8, 1));
+    assert_eq!(registration.apply(now, other), NoticeEffect::Started, "it is another process");
+    assert!(registration.accepts_requests());
+    assert_eq!(registration.apply(now, late), NoticeEffect::Stale);
+}
+
+/// The departure of a process with an unknown start time must not keep a later process with the
+/// same instance id out of use.
+#[test]
+fn later_process_with_the_instance_id_of_a_departed_one_is_registered() {
+    let now = Instant::now();
+    let mut registration = Registration::default();
+    registration.apply(now, deregistered("a", 0));
+    let announced = Notice::Announced(running("a", 7, 1));
+    assert_eq!(registration.apply(now + LATER, announced), NoticeEffect::Started);
+    assert!(registration.accepts_requests());
+
+    let mut registration = Registration::default();
+    registration.apply_health_page(now, running("a", 0, 0));
+    assert_eq!(registration.apply(now, deregistered("a", 0)), NoticeEffect::Leaving);
+    let announced = Notice::Announced(running("a", 7, 1));
+    assert_eq!(registration.apply(now + LATER, announced), NoticeEffect::Started);
+    assert!(registration.accepts_requests());
+
+    let mut registration = Registration::default();
+    registration.apply_health_page(now, running("a", 0, 0));
+    registration.apply(now, deregistered("a", 0));
+    let late = Notice::Announced(running("a", 7, 9));
+    assert_eq!(registration.apply(now, late), NoticeEffect::Leaving, "it gives the start time");
+    let announced = Notice::Announced(running("a", 8, 1));
+    assert_eq!(registration.apply(now, announced), NoticeEffect::Started);
+    assert!(registration.accepts_requests());
+}
+
+/// A process whose address belongs to another one was registered again by a late heartbeat if
+/// only the health page had described it.
+#[test]
+fn late_heartbeat_does_not_register_a_removed_process() {
+    let now = Instant::now();
+    let mut registration = Registration::default();
+    registration.apply_health_page(now, running("a", 0, 0));
+    assert!(registration.remove(now, "a"));
+    let late = Notice::Announced(running("a", 7, 3));
+    assert_eq!(registration.apply(now, late), NoticeEffect::Stale);
+    assert!(!registration.accepts_requests());
+}
+
+/// A health page that said that its process is leaving was not remembered while no process was
+/// registered.
+#[test]
+fn stated_leaving_is_remembered_before_the_process_is_registered() {
+    let now = Instant::now();
+    let mut registration = Registration::default();
+    assert_eq!(registration.leave(now, "a"), NoticeEffect::Stale);
+    let announced = Notice::Announced(running("a", 7, 3));
+    assert_eq!(registration.apply(now, announced), NoticeEffect::Stale);
+    assert!(!registration.accepts_requests());
 }
 
 quickcheck! {
+    /// Whatever arrives before and after the deregistration of a process, in whatever order, it
+    /// accepts no requests while its notices may be under way.
+    fn a_deregistered_process_accepts_no_requests(
+        before: Vec<(u8, u8)>,
+        after: Vec<(u8, u8)>
+    ) -> bool {
+        let now = Instant::now();
+        let mut registration = Registration::default();
+        let apply = |registration: &mut Registration, (kind, sequence): (u8, u8)| {
+            let sequence = u64::from(sequence);
+            match kind % 4 {
+                0 => drop(registration.apply_health_page(now, running("a", 0, 0))),
+                1 => drop(registration.apply(now, Notice::Announced(leaving("a", 7, sequence)))),
+                2 => drop(registration.remove(now, "a")),
+                _ => drop(registration.apply(now, Notice::Announced(running("a", 7, sequence)))),
+            }
+        };
+        before.into_iter().for_each(|event| apply(&mut registration, event));
+        registration.apply(now, deregistered("a", 0));
+        after.into_iter().all(|event| {
+            apply(&mut registration, event);
+            !registration.accepts_requests()
+        })
+    }
+
     /// Whatever notices arrive in whatever order, the process with the latest start time
     /// is registered, and a process that has left accepts no requests again.
     fn the_latest_process_is_registered(notices: Vec<(u8, u8, bool)>) -> bool {
-        let mut registration = Registration::default();
+        let now = Instant::now();
+    let mut registration = Registration::default();
         let (mut latest, mut has_left) = (0, false);
         for (start, sequence, leaves) in notices {
             let started = u64::from(start % 4) + 1;
@@ -103,13 +237,13 @@
                 true => leaving(&instance, started, u64::from(sequence) + 1000),
                 false => running(&instance, started, u64::from(sequence)),
             };
-            registration.apply(Notice::Announced(notice));
+            registration.apply(now, Notice::Announced(notice));
             if started > latest {
                 (latest, has_left) = (started, leaves);
             } else if started == latest {
                 has_left |= leaves;
             }
-            let current = registration.current().map(|current| current.started);
+            let current = registration.current().and_then(|current| current.started);
             if current != Some(latest) || registration.accepts_requests() == has_left {
                 return false;
             }
@@ -121,14 +255,21 @@
 /// Issue 26: a target may state in an answer that it is leaving, before any notice does.
 #[test]
 fn stated_leaving_is_not_undone_by_a_later_announcement() {
+    let now = Instant::now();
     let mut registration = Registration::default();
-    registration.apply(Notice::Announced(running("a", 1, 1)));
-    assert_eq!(registration.leave("other"), NoticeEffect::Stale);
+    registration.apply(now, Notice::Announced(running("a", 1, 1)));
+    assert_eq!(registration.leave(now, "other"), NoticeEffect::Stale);
     assert!(registration.accepts_requests());
-    assert_eq!(registration.leave("a"), NoticeEffect::Leaving);
-    assert_eq!(registration.apply(Notice::Announced(running("a", 1, 2))), NoticeEffect::Leaving);
+    assert_eq!(registration.leave(now, "a"), NoticeEffect::Leaving);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 1, 2))),
+        NoticeEffect::Leaving
+    );
     assert!(!registration.accepts_requests());
-    assert_eq!(registration.apply(Notice::Announced(running("a", 2, 1))), NoticeEffect::Started);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 2, 1))),
+        NoticeEffect::Started
+    );
 }
 
 /// A notice of another writer with a later start replaced the registered process, and its
@@ -136,6 +277,7 @@
 #[test]
 fn notice_of_another_target_changes_nothing() {
     let own = running("a", 1, 5);
+    let now = Instant::now();
     let mut registration = Registration::for_target(own.service.clone(), own.address);
     let foreign = |instance: &str, service: &str| Announcement {
         service: service.into(),
@@ -156,17 +298,20 @@
         Announcement { is_leaving: true, instance: "a".into(), ..elsewhere },
     ];
     for announcement in refused.clone() {
-        let effect = registration.apply(Notice::Announced(announcement));
+        let effect = registration.apply(now, Notice::Announced(announcement));
         assert_eq!(effect, NoticeEffect::Foreign, "before the target's own first notice");
         assert!(registration.current().is_none());
     }
-    assert_eq!(registration.apply(Notice::Announced(own.clone())), NoticeEffect::Started);
+    assert_eq!(registration.apply(now, Notice::Announced(own.clone())), NoticeEffect::Started);
     for announcement in refused {
-        let effect = registration.apply(Notice::Announced(announcement));
+        let effect = registration.apply(now, Notice::Announced(announcement));
         assert_eq!(effect, NoticeEffect::Foreign);
     }
-    assert_eq!(registration.apply(deregistered("other", 9)), NoticeEffect::Stale);
+    assert_eq!(registration.apply(now, deregistered("other", 9)), NoticeEffect::Stale);
     assert_eq!(registration.current(), Some(&own));
     assert!(registration.accepts_requests());
-    assert_eq!(registration.apply(Notice::Announced(running("a", 1, 6))), NoticeEffect::Confirmed);
+    assert_eq!(
+        registration.apply(now, Notice::Announced(running("a", 1, 6))),
+        NoticeEffect::Confirmed
+    );
 }
--- a/crates/daemon/src/guard/notice_log.rs
+++ b/crates/daemon/src/guard/notice_log.rs
@@ -28,13 +28,17 @@
                 Self {
                     kind: "heartbeat",
                     process: format!("{instance:.64} of {service:.64} at {address}").into(),
-                    details: format!("start {started}, sequence {sequence}, {state}").into(),
+                    details: format!(
+                        "start {}, sequence {sequence}, {state}",
+                        start_text(*started)
+                    )
+                    .into(),
                 }
             }
             Notice::Deregistered { instance, started } => Self {
                 kind: "deregistration",
                 process: format!("{instance:.64}").into(),
-                details: format!("start {started}").into(),
+                details: format!("start {}", start_text(*started)).into(),
             },
         }
     }
@@ -57,7 +61,7 @@
         return;
     }
     let registered = match registration.current() {
-        Some(current) => format!("{:.64}, start {}", current.instance, current.started),
+        Some(current) => format!("{:.64}, start {}", current.instance, start_text(current.started)),
         None => "none".to_owned(),
     };
     log::info!(
@@ -96,6 +100,10 @@
     }
 }
 
+fn start_text(started: Option<u64>) -> Box<str> {
+    started.map_or("unknown".into(), |started| started.to_string().into())
+}
+
 fn effect_text(effect: NoticeEffect) -> &'static str {
     match effect {
         NoticeEffect::Started => "registered",
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -249,15 +249,16 @@
                 address: target.identity().address,
                 slots: report.slots.max(1),
                 is_leaving: answer.is_leaving,
-                started: 0,
+                started: None,
                 sequence: 0,
                 cold_remaining: answer.cold.remaining(),
             };
-            if registration.apply_health_page(announcement) == NoticeEffect::Started {
+            if registration.apply_health_page(now, announcement) == NoticeEffect::Started {
                 self.serve_new_process();
                 self.is_checked = true;
             }
         }
+        self.apply_page_statement(&answer);
         let is_own = |instance: &str| self.is_current_process(instance);
         if answer.instance.as_deref().is_none_or(is_own) {
             self.apply_statements(rate::Source::HealthPage, &answer);
@@ -267,6 +268,18 @@
         self.confirm_process();
     }
 
+    /// Remembers a process whose health page states that it is leaving, before it is registered.
+    fn apply_page_statement(&mut self, answer: &TargetAnswer) {
+        let now = self.now();
+        if let Some((registration, instance)) =
+            self.registration.as_mut().zip(answer.instance.as_deref())
+            && answer.is_leaving
+            && registration.current().is_none()
+        {
+            registration.leave(now, instance);
+        }
+    }
+
     /// Admits requests if a process is registered that accepts them, once it has been
     /// checked: its answer may state that it accepts fewer requests, or none.
     fn confirm_process(&mut self) {
@@ -282,22 +295,19 @@
             return NoticeEffect::Stale;
         };
         let description = Description::of(&notice);
+        let now = self.kernel.clock().now();
         let cold_remaining = match &notice {
             Notice::Announced(announcement) => announcement.cold_remaining,
             Notice::Deregistered { .. } => Duration::ZERO,
         };
-        let effect = registration.apply(notice);
+        let effect = registration.apply(now, notice);
         notice_log::record(&description, effect, registration);
         if effect == NoticeEffect::Started {
             self.serve_new_process();
         }
         if matches!(effect, NoticeEffect::Started | NoticeEffect::Confirmed) {
             let stated = cold::Statement::ColdFor(cold_remaining);
-            self.controller.observe_coldness(
-                self.kernel.clock().now(),
-                cold::Source::Notice,
-                stated,
-            );
+            self.controller.observe_coldness(now, cold::Source::Notice, stated);
         }
         match effect {
             NoticeEffect::Started => {}
@@ -322,8 +332,9 @@
         let Some(target) = self.target.as_ref().filter(|_| answer.is_leaving) else {
             return;
         };
+        let now = self.kernel.clock().now();
         if let Some(registration) = &mut self.registration
-            && registration.leave(&target.identity().instance) == NoticeEffect::Leaving
+            && registration.leave(now, &target.identity().instance) == NoticeEffect::Leaving
         {
             if !self.controller.is_leaving() {
                 log::info!(
@@ -387,9 +398,10 @@
     /// No request is sent to the address until a health check or notice has shown which
     /// process is there.
     pub(super) fn remove_misdirected(&mut self, instance: &str) {
+        let now = self.now();
         let is_current = self.is_current_process(instance);
         if let Some(registration) = self.registration.as_mut().filter(|_| is_current)
-            && registration.remove(instance)
+            && registration.remove(now, instance)
         {
             log::warn!(target: "daemon::guard::belief", "the target {instance} is not at its address any more");
             self.set_reachable(false);
@@ -399,12 +411,13 @@
     /// Removes the registered process if the health page belongs to another one, `answering`:
     /// the notice that registered it was false or late.
     fn remove_contradicted(&mut self, answering: &str) {
+        let now = self.now();
         let Some(registration) = &mut self.registration else {
             return;
         };
         let registered = registration.current().map(|current| current.instance.clone());
         if let Some(registered) = registered.filter(|registered| **registered != *answering) {
-            registration.remove(&registered);
+            registration.remove(now, &registered);
             log::warn!(
                 target: "daemon::guard::belief",
                 "the health page of the target {answering} answers in place of {registered:.64}"
