Guard: a heartbeat alone does not admit a process against its health page

What callers saw: requests reached a target that had said that it leaves, after the daemon that had acknowledged it was restarted.

Cause: an acknowledged departure is kept by one process, and was gone after its restart: which process is served was thought to be repeated by the target, but a deregistration is not. The new daemon took any heartbeat for the truth, also one that arrived late, and counted a health page that says no as a passed check.

Change: the page of the process that says that it is not in service (another status than 200, not refused for want of room) denies it until something confirms it: the page answers 200, or heartbeats have gone on for 10 s, longer than a notice is under way. A process that was confirmed once stays in use, since pages can be wrong. Without a configuration, which names the page, a target that only takes connections is not admitted.

Ruled out: rows or gossip for departures: the target itself still knows, also when the store is away and most daemons were killed together. What remains: a page that wrongly says yes, or gives no answer at all, while the target leaves.

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -68,9 +68,26 @@
     /// Service and address that an announcement must have; `None` accepts any.
     expected: Option<(Box<str>, SocketAddr)>,
     current: Option<Announcement>,
+    evidence: Evidence,
+    /// The process whose health page said that it is not in service, before anything confirmed
+    /// that it is.
+    denied: Option<Box<str>>,
     departed: VecDeque<Departure>,
 }
 
+/// What shows that the registered process is in service. Its first announcement alone does not:
+/// it may have been sent before the process left, to an earlier daemon.
+#[derive(Debug, Default)]
+enum Evidence {
+    /// No process is registered.
+    #[default]
+    None,
+    /// The process was registered at this time.
+    RegisteredAt(Instant),
+    /// The health page, or announcements over [`MAX_NOTICE_DELAY`], have confirmed it.
+    Confirmed,
+}
+
 /// A process that has left.
 #[derive(Debug)]
 struct Departure {
@@ -94,7 +111,13 @@
 
     /// Whether a process is registered and accepts new requests.
     pub fn accepts_requests(&self) -> bool {
-        self.current.as_ref().is_some_and(|current| !current.is_leaving)
+        self.current.as_ref().is_some_and(|current| !current.is_leaving) && !self.is_denied()
+    }
+
+    /// Whether the health page of the registered process says that it is not in service, and
+    /// nothing has confirmed that it is.
+    pub fn is_denied(&self) -> bool {
+        self.current.as_ref().is_some_and(|current| self.denied.as_ref() == Some(&current.instance))
     }
 
     /// Number of departed processes that are remembered.
@@ -124,6 +147,24 @@
         }
     }
 
+    /// Records that the health page of the process `instance` says that it is in service.
+    pub fn confirm(&mut self, instance: &str) {
+        if self.current.as_ref().is_some_and(|current| *current.instance == *instance) {
+            self.evidence = Evidence::Confirmed;
+        }
+        self.denied.take_if(|denied| **denied == *instance);
+    }
+
+    /// Records that the health page of the process `instance` says that it is not in service:
+    /// it fails, or it is leaving. A process that was confirmed before stays in use, because the
+    /// page can be wrong.
+    pub fn deny(&mut self, instance: &str) {
+        let is_other = self.current.as_ref().is_some_and(|current| *current.instance != *instance);
+        if !is_other && !matches!(self.evidence, Evidence::Confirmed) {
+            self.denied = Some(instance.into());
+        }
+    }
+
     /// Records that the process with this instance id states that it is leaving.
     pub fn leave(&mut self, now: Instant, instance: &str) -> NoticeEffect {
         match &mut self.current {
@@ -146,6 +187,7 @@
         let is_current =
             self.current.as_ref().is_some_and(|current| *current.instance == *instance);
         if let Some(current) = self.current.take_if(|_| is_current) {
+            self.evidence = Evidence::None;
             self.record_departure(now, current.instance, current.started);
         }
         is_current
@@ -161,6 +203,12 @@
         let is_leaving = announcement.is_leaving || was_leaving;
         if is_same {
             self.complete_departure(&announcement);
+            if matches!(self.evidence, Evidence::RegisteredAt(at) if now - at >= MAX_NOTICE_DELAY) {
+                self.confirm(&announcement.instance);
+            }
+        } else {
+            self.evidence = Evidence::RegisteredAt(now);
+            self.denied.take_if(|denied| **denied != *announcement.instance);
         }
         self.current = Some(Announcement { is_leaving, ..announcement });
         match (is_same, is_leaving) {
--- a/crates/admit/tests/standing.rs
+++ b/crates/admit/tests/standing.rs
@@ -198,6 +198,40 @@
     assert!(!registration.accepts_requests());
 }
 
+/// Issue 46: a daemon that was restarted after it had acknowledged a departure believed a late
+/// heartbeat, although the health page said that the process was not in service.
+#[test]
+fn heartbeat_alone_does_not_admit_a_process_that_its_health_page_denies() {
+    let now = Instant::now();
+    let heartbeat = |sequence| Notice::Announced(running("a", 7, sequence));
+    let mut registration = Registration::default();
+    registration.deny("a");
+    assert_eq!(registration.apply(now, heartbeat(14)), NoticeEffect::Started);
+    assert!(!registration.accepts_requests());
+    registration.apply(now + LATER / 2, heartbeat(15));
+    assert!(!registration.accepts_requests(), "it may have been sent before the departure too");
+    registration.confirm("a");
+    assert!(registration.accepts_requests());
+    registration.deny("a");
+    assert!(registration.accepts_requests(), "the page of a confirmed process can be wrong");
+}
+
+#[test]
+fn process_that_goes_on_announcing_itself_is_admitted_against_its_health_page() {
+    let now = Instant::now();
+    let heartbeat = |sequence| Notice::Announced(running("a", 7, sequence));
+    let mut registration = Registration::default();
+    registration.apply(now, heartbeat(1));
+    registration.deny("a");
+    assert!(!registration.accepts_requests());
+    assert_eq!(registration.apply(now + LATER, heartbeat(8)), NoticeEffect::Confirmed);
+    assert!(registration.accepts_requests());
+    let successor = Notice::Announced(running("b", 8, 1));
+    assert_eq!(registration.apply(now + LATER, successor), NoticeEffect::Started);
+    registration.deny("a");
+    assert!(registration.accepts_requests(), "the page belongs to an earlier process");
+}
+
 quickcheck! {
     /// Whatever arrives before and after the deregistration of a process, in whatever order, it
     /// accepts no requests while its notices may be under way.
@@ -209,10 +243,11 @@
         let mut registration = Registration::default();
         let apply = |registration: &mut Registration, (kind, sequence): (u8, u8)| {
             let sequence = u64::from(sequence);
-            match kind % 4 {
+            match kind % 5 {
                 0 => drop(registration.apply_health_page(now, running("a", 0, 0))),
                 1 => drop(registration.apply(now, Notice::Announced(leaving("a", 7, sequence)))),
-                2 => drop(registration.remove(now, "a")),
+                2 => registration.confirm("a"),
+                3 => drop(registration.remove(now, "a")),
                 _ => drop(registration.apply(now, Notice::Announced(running("a", 7, sequence)))),
             }
         };
--- a/crates/daemon/src/guard/notice_log.rs
+++ b/crates/daemon/src/guard/notice_log.rs
@@ -60,8 +60,14 @@
     if matches!(effect, NoticeEffect::Confirmed | NoticeEffect::Foreign) {
         return;
     }
+    let denied = match registration.is_denied() {
+        true => " (not admitted: its health page denies that it is in service)",
+        false => "",
+    };
     let registered = match registration.current() {
-        Some(current) => format!("{:.64}, start {}", current.instance, start_text(current.started)),
+        Some(current) => {
+            format!("{:.64}, start {}{denied}", current.instance, start_text(current.started))
+        }
         None => "none".to_owned(),
     };
     log::info!(
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -16,7 +16,7 @@
 use super::rate_limit::RateObserver;
 use super::task::Task;
 use super::{DOWN_CHECK_INTERVAL, DueHealthCheck, MAX_REPORT_AGE, Message, PaceReport};
-use crate::adapter::{TargetAnswer, TargetIdentity};
+use crate::adapter::{ExecutionStatus, TargetAnswer, TargetIdentity};
 use crate::journal::GuardState;
 use crate::target::{HealthCheckResult, Target};
 use crate::{membership, names};
@@ -209,6 +209,11 @@
         if !self.is_current_process(instance) {
             return;
         }
+        let is_page_unknown = self.registration.is_some() && !self.has_settings;
+        if matches!(result, HealthCheckResult::Connected) && is_page_unknown {
+            // Only the page shows that a process has left before this daemon started.
+            return;
+        }
         let was_checked = std::mem::replace(&mut self.is_checked, true);
         match result {
             HealthCheckResult::Connected
@@ -258,7 +263,7 @@
                 self.is_checked = true;
             }
         }
-        self.apply_page_statement(&answer);
+        self.apply_page_status(&answer);
         let is_own = |instance: &str| self.is_current_process(instance);
         if answer.instance.as_deref().is_none_or(is_own) {
             self.apply_statements(rate::Source::HealthPage, &answer);
@@ -268,16 +273,26 @@
         self.confirm_process();
     }
 
-    /// Remembers a process whose health page states that it is leaving, before it is registered.
-    fn apply_page_statement(&mut self, answer: &TargetAnswer) {
+    /// Applies what the health page says of the process that it belongs to. An answer that the
+    /// target refused because it is full says nothing.
+    fn apply_page_status(&mut self, answer: &TargetAnswer) {
         let now = self.now();
-        if let Some((registration, instance)) =
+        let Some((registration, instance)) =
             self.registration.as_mut().zip(answer.instance.as_deref())
-            && answer.is_leaving
-            && registration.current().is_none()
-        {
+        else {
+            return;
+        };
+        if answer.is_leaving && registration.current().is_none() {
             registration.leave(now, instance);
         }
+        match (answer.status, answer.execution) {
+            (200, _) => registration.confirm(instance),
+            (_, ExecutionStatus::NotRun) => {}
+            _ => registration.deny(instance),
+        }
+        if registration.is_denied() {
+            self.set_reachable(false);
+        }
     }
 
     /// Admits requests if a process is registered that accepts them, once it has been
