Guard: a silent health page does not admit a process either

Requests would have reached a target that had left, after a restart of its daemon, while the page gave no answer.

Cause: the first check that got no answer counted as passed, because a page may be out of order while the target is not.

Change: it leaves the process unconfirmed, as another status than 200 does. A process that was confirmed before stays in use.

Evidence: a_late_heartbeat_does_not_undo_a_deregistration_while_the_health_page_is_silent failed before (the request ran) and passes. crates/lab/tests/{platform,rate,cold,foreign}.rs pass.

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -69,8 +69,8 @@
     expected: Option<(Box<str>, SocketAddr)>,
     current: Option<Announcement>,
     evidence: Evidence,
-    /// The process whose health page said that it is not in service, before anything confirmed
-    /// that it is.
+    /// The process whose health page did not say that it is in service, before anything
+    /// confirmed that it is.
     denied: Option<Box<str>>,
     departed: VecDeque<Departure>,
 }
@@ -114,8 +114,8 @@
         self.current.as_ref().is_some_and(|current| !current.is_leaving) && !self.is_denied()
     }
 
-    /// Whether the health page of the registered process says that it is not in service, and
-    /// nothing has confirmed that it is.
+    /// Whether the health page of the registered process does not say that it is in service, and
+    /// nothing else has confirmed it.
     pub fn is_denied(&self) -> bool {
         self.current.as_ref().is_some_and(|current| self.denied.as_ref() == Some(&current.instance))
     }
@@ -155,9 +155,9 @@
         self.denied.take_if(|denied| **denied == *instance);
     }
 
-    /// Records that the health page of the process `instance` says that it is not in service:
-    /// it fails, or it is leaving. A process that was confirmed before stays in use, because the
-    /// page can be wrong.
+    /// Records that the health page of the process `instance` does not say that it is in
+    /// service: it fails, or it is leaving. A process that was confirmed before stays in use,
+    /// because the page can be wrong.
     pub fn deny(&mut self, instance: &str) {
         let is_other = self.current.as_ref().is_some_and(|current| *current.instance != *instance);
         if !is_other && !matches!(self.evidence, Evidence::Confirmed) {
--- a/crates/daemon/src/guard/notice_log.rs
+++ b/crates/daemon/src/guard/notice_log.rs
@@ -61,7 +61,7 @@
         return;
     }
     let denied = match registration.is_denied() {
-        true => " (not admitted: its health page denies that it is in service)",
+        true => " (not admitted: its health page does not confirm it)",
         false => "",
     };
     let registered = match registration.current() {
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -224,8 +224,7 @@
             HealthCheckResult::Connected => {}
             HealthCheckResult::Unreachable => self.set_reachable(false),
             HealthCheckResult::NoAnswer if was_checked => {}
-            // The page may be out of order while the target is not.
-            HealthCheckResult::NoAnswer => self.confirm_process(),
+            HealthCheckResult::NoAnswer => self.apply_silent_page(instance),
             HealthCheckResult::Answered(answer) => self.apply_health_page(answer),
         }
     }
@@ -295,6 +294,23 @@
         }
     }
 
+    /// Applies that the first check of the health page got no answer. The page may be out of order
+    /// while the target is not, so that a process that was confirmed before stays in use.
+    fn apply_silent_page(&mut self, instance: &str) {
+        if let Some(registration) = &mut self.registration
+            && registration.current().is_some()
+        {
+            registration.deny(instance);
+            if registration.is_denied() {
+                log::warn!(
+                    target: "daemon::guard::belief",
+                    "the target {instance} is not admitted: its health page gives no answer"
+                );
+            }
+        }
+        self.confirm_process();
+    }
+
     /// Admits requests if a process is registered that accepts them, once it has been
     /// checked: its answer may state that it accepts fewer requests, or none.
     fn confirm_process(&mut self) {
--- a/crates/lab/src/sidecar.rs
+++ b/crates/lab/src/sidecar.rs
@@ -77,6 +77,8 @@
     rate_limit: Cell<Option<f64>>,
     /// Whether the health page names the accepted rate too.
     is_limit_on_page: Cell<bool>,
+    /// Whether requests for the health page get no answer.
+    is_page_silent: Cell<bool>,
     /// Unix time in milliseconds until which the target is cold.
     cold_until: Cell<u64>,
     random: RefCell<fastrand::Rng>,
@@ -102,6 +104,7 @@
         states_leaving: Cell::new(false),
         rate_limit: Cell::new(None),
         is_limit_on_page: Cell::new(true),
+        is_page_silent: Cell::new(false),
         cold_until: Cell::new(0),
         random: RefCell::new(fastrand::Rng::with_seed(settings.seed)),
         settings,
@@ -219,6 +222,9 @@
             return self.answer(StatusCode::OK, "", Bytes::new());
         }
         if path == "/healthz" {
+            if self.is_page_silent.get() {
+                std::future::pending::<()>().await;
+            }
             if self.rate_limit.get().is_some() {
                 print_line(&format!("check {}", unix_millis()));
             }
@@ -324,6 +330,9 @@
         if let Some(is_on_page) = value["limit_on_page"].as_bool() {
             self.is_limit_on_page.set(is_on_page);
         }
+        if value["silent_page"] == true {
+            self.is_page_silent.set(true);
+        }
         if value["state_leaving"] == true {
             self.states_leaving.set(true);
         }
--- a/crates/lab/tests/leaving.rs
+++ b/crates/lab/tests/leaving.rs
@@ -83,3 +83,15 @@
     start_daemon(&mut mesh);
     assert_late_heartbeat_changes_nothing(&mesh);
 }
+
+/// As above, and a health page that gave no answer counted as a passed check (issue 46).
+#[test]
+fn a_late_heartbeat_does_not_undo_a_deregistration_while_the_health_page_is_silent() {
+    let mut mesh = serving_mesh();
+    deregister(&mesh);
+    await_acknowledgement(&mesh);
+    mesh.set_target_behaviour(LEAVING, &json!({ "silent_page": true }));
+    mesh.kill_daemon(LEAVING);
+    start_daemon(&mut mesh);
+    assert_late_heartbeat_changes_nothing(&mesh);
+}
