Soak: targets deregister while their daemon is killed

Leaving beside restarts was played by the soak only as an announcement that the target repeats with each heartbeat, so that a restarted daemon heard it again. Two steps a round now let a target leave by a deregistration alone, beside a kill of its daemon, with a late heartbeat after it.

--- a/crates/lab/src/soak/host/faults.rs
+++ b/crates/lab/src/soak/host/faults.rs
@@ -106,6 +106,12 @@
                 post(self.hosts[host].target, "/lab", &json!({ "leave": true }));
                 (FaultLocation::Host(host), SERVE_AFTER_LEAVE, Undo::StartTarget(host))
             }
+            DeregisterTarget(host) => {
+                let late_heartbeat = step.duration.as_millis() as u64;
+                let behaviour = json!({ "deregister": true, "late_heartbeat_ms": late_heartbeat });
+                post(self.hosts[host].target, "/lab", &behaviour);
+                (FaultLocation::Host(host), SERVE_AFTER_LEAVE, Undo::StartTarget(host))
+            }
             LimitTarget(host) => {
                 let limit = json!({ "rate_limit": LIMIT_PER_SECOND });
                 post(self.hosts[host].target, "/lab", &limit);
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -23,6 +23,11 @@
 const REPEAT_STEPS: usize = 2;
 /// Additional notices of other writers, drawn and numbered after all other steps.
 const FOREIGN_STEPS: usize = 3;
+/// Additional targets that leave by a deregistration alone while their daemon is killed, drawn
+/// and numbered after all other steps.
+const DEPARTURES: usize = 2;
+/// Longest time between such a departure and the kill, whichever comes first.
+const DEPARTURE_OFFSET: Duration = Duration::from_millis(500);
 /// Time from a fault on most hosts to the change of the configuration.
 const CHANGE_DELAY: Duration = Duration::from_millis(300);
 /// Greatest age of a copy, in milliseconds.
@@ -65,6 +70,9 @@
     PauseTarget(usize),
     /// Makes the target announce that it is leaving, then replaces its process.
     LeaveTarget(usize),
+    /// Makes the target leave without announcing it before. A heartbeat that it sent before
+    /// arrives after the duration of the step.
+    DeregisterTarget(usize),
     /// Makes requests at the target take seven times as long.
     SlowTarget(usize),
     /// Makes the target answer with errors.
@@ -171,6 +179,21 @@
         duration: EVACUATION_DURATION,
         ..evacuation
     });
+    for _ in 0..DEPARTURES {
+        let host = random.usize(..hosts);
+        let at = ROUND_DURATION.mul_f64(random.f64());
+        let kill_at = at + 2 * DEPARTURE_OFFSET.mul_f64(random.f64());
+        steps.push(Step {
+            at,
+            duration: Duration::from_millis(random.u64(200..3500)),
+            fault: Fault::DeregisterTarget(host),
+        });
+        steps.push(Step {
+            at: kill_at.saturating_sub(DEPARTURE_OFFSET),
+            duration: Duration::from_millis(random.u64(50..900)),
+            fault: Fault::KillDaemon(host),
+        });
+    }
     steps
 }
 
