Registration: only a daemon that has just started doubts a heartbeat

Cause: every new process had to be confirmed by its page. The doubt is justified only where the process may have left before the daemon started, so that an earlier daemon has its departure.

Change: the registration counts as confirmed once the page of the target has answered 200, or a heartbeat arrives later than 10 s after the daemon's start, and stays so: from then on each departure comes here. A page without an instance id speaks of the registered process. The page's state is logged only where it says something, and a start-less departure ends with a later process of that id.

The tests of leaving.rs, foreign.rs, platform.rs, rate.rs and cold.rs pass.

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -8,8 +8,8 @@
 /// Maximum number of departed processes that are remembered, so that notices from
 /// them that arrive late are recognised as stale.
 const MAX_DEPARTED: usize = 32;
-/// Longest time for which a notice may be under way. One that arrives later was sent after
-/// whatever was known at its start.
+/// Longest time for which a notice is under way. One that arrives later than that after an event
+/// was sent after the event.
 const MAX_NOTICE_DELAY: Duration = Duration::from_secs(10);
 
 /// A notice that a target sends.
@@ -63,31 +63,22 @@
 }
 
 /// The registered process of the target.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registration {
+    created_at: Instant,
     /// Service and address that an announcement must have; `None` accepts any.
     expected: Option<(Box<str>, SocketAddr)>,
     current: Option<Announcement>,
-    evidence: Evidence,
-    /// The process whose health page did not say that it is in service, before anything
-    /// confirmed that it is.
+    /// Whether all departures are known of processes that may still be announced. Until then, an
+    /// announced process may have left before this registration was created, and an earlier
+    /// daemon has acknowledged that.
+    is_confirmed: bool,
+    /// The process whose health page did not say that it is in service, while the registration
+    /// was not confirmed.
     denied: Option<Box<str>>,
     departed: VecDeque<Departure>,
 }
 
-/// What shows that the registered process is in service. Its first announcement alone does not:
-/// it may have been sent before the process left, to an earlier daemon.
-#[derive(Debug, Default)]
-enum Evidence {
-    /// No process is registered.
-    #[default]
-    None,
-    /// The process was registered at this time.
-    RegisteredAt(Instant),
-    /// The health page, or announcements over [`MAX_NOTICE_DELAY`], have confirmed it.
-    Confirmed,
-}
-
 /// A process that has left.
 #[derive(Debug)]
 struct Departure {
@@ -98,10 +89,22 @@
 }
 
 impl Registration {
+    /// Creates a registration for the processes of any target.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            created_at: now,
+            expected: None,
+            current: None,
+            is_confirmed: false,
+            denied: None,
+            departed: VecDeque::new(),
+        }
+    }
+
     /// Creates a registration for the processes of one target. Announcements with another
     /// service or address come from another writer and are not applied.
-    pub fn for_target(service: Box<str>, address: SocketAddr) -> Self {
-        Self { expected: Some((service, address)), ..Self::default() }
+    pub fn for_target(now: Instant, service: Box<str>, address: SocketAddr) -> Self {
+        Self { expected: Some((service, address)), ..Self::new(now) }
     }
 
     /// The registered process, which may be leaving.
@@ -114,8 +117,8 @@
         self.current.as_ref().is_some_and(|current| !current.is_leaving) && !self.is_denied()
     }
 
-    /// Whether the health page of the registered process does not say that it is in service, and
-    /// nothing else has confirmed it.
+    /// Whether the health page of the registered process does not say that it is in service, so
+    /// that it may have left before this registration was created.
     pub fn is_denied(&self) -> bool {
         self.current.as_ref().is_some_and(|current| self.denied.as_ref() == Some(&current.instance))
     }
@@ -147,20 +150,18 @@
         }
     }
 
-    /// Records that the health page of the process `instance` says that it is in service.
-    pub fn confirm(&mut self, instance: &str) {
-        if self.current.as_ref().is_some_and(|current| *current.instance == *instance) {
-            self.evidence = Evidence::Confirmed;
-        }
-        self.denied.take_if(|denied| **denied == *instance);
+    /// Records that the health page says that a process is in service: if it leaves later, the
+    /// notice comes here.
+    pub fn confirm(&mut self) {
+        self.is_confirmed = true;
+        self.denied = None;
     }
 
     /// Records that the health page of the process `instance` does not say that it is in
-    /// service: it fails, or it is leaving. A process that was confirmed before stays in use,
+    /// service: it fails, or it has left. That counts only until the registration is confirmed,
     /// because the page can be wrong.
     pub fn deny(&mut self, instance: &str) {
-        let is_other = self.current.as_ref().is_some_and(|current| *current.instance != *instance);
-        if !is_other && !matches!(self.evidence, Evidence::Confirmed) {
+        if !self.is_confirmed {
             self.denied = Some(instance.into());
         }
     }
@@ -187,7 +188,6 @@
         let is_current =
             self.current.as_ref().is_some_and(|current| *current.instance == *instance);
         if let Some(current) = self.current.take_if(|_| is_current) {
-            self.evidence = Evidence::None;
             self.record_departure(now, current.instance, current.started);
         }
         is_current
@@ -203,12 +203,11 @@
         let is_leaving = announcement.is_leaving || was_leaving;
         if is_same {
             self.complete_departure(&announcement);
-            if matches!(self.evidence, Evidence::RegisteredAt(at) if now - at >= MAX_NOTICE_DELAY) {
-                self.confirm(&announcement.instance);
-            }
         } else {
-            self.evidence = Evidence::RegisteredAt(now);
-            self.denied.take_if(|denied| **denied != *announcement.instance);
+            self.departed.retain(|departure| !departure.precedes(now, &announcement));
+        }
+        if now - self.created_at >= MAX_NOTICE_DELAY {
+            self.confirm();
         }
         self.current = Some(Announcement { is_leaving, ..announcement });
         match (is_same, is_leaving) {
@@ -309,8 +308,8 @@
             }
     }
 
-    /// Whether an announcement with a start time comes from a later process with the instance id
-    /// of the one that has left without one.
+    /// Whether the process has left without a start time, and an announcement with one comes
+    /// from a later process with the same instance id.
     fn precedes(&self, now: Instant, announcement: &Announcement) -> bool {
         self.instance == announcement.instance
             && self.started.is_none()
--- a/crates/daemon/src/guard.rs
+++ b/crates/daemon/src/guard.rs
@@ -172,9 +172,11 @@
     let default_connections = target.map_or(u16::MAX, |target| target.connections);
     let service = target.map_or("".into(), |target| target.service.clone());
     let service = Rc::new(RefCell::new(service));
-    let registration = target.map_or_else(Registration::default, |target| {
-        Registration::for_target(target.service.clone(), target.address)
-    });
+    let now = kernel.clock().now();
+    let registration = target.map_or_else(
+        || Registration::new(now),
+        |target| Registration::for_target(now, target.service.clone(), target.address),
+    );
     let target = target.map(|target| {
         let identity = TargetIdentity { instance: "".into(), address: target.address };
         Target::new(kernel, adapter, identity, slots)
--- a/crates/daemon/src/guard/target_state.rs
+++ b/crates/daemon/src/guard/target_state.rs
@@ -234,11 +234,7 @@
     /// only source of information.
     pub(super) fn apply_health_page(&mut self, answer: TargetAnswer) {
         let now = self.now();
-        let state = PageState::of(&answer);
-        if self.page_state.as_ref() != Some(&state) {
-            state.record();
-            self.page_state = Some(state);
-        }
+        self.record_page_state(&answer);
         let found = answer.instance.as_deref().zip(answer.report);
         let found = found.filter(|_| answer.status == 200);
         if let Some((instance, _)) = found {
@@ -272,30 +268,43 @@
         self.confirm_process();
     }
 
-    /// Applies what the health page says of the process that it belongs to. An answer that the
-    /// target refused because it is full says nothing.
+    /// Logs what the health page says when that changes. A full target refuses requests for its
+    /// page, which says nothing.
+    fn record_page_state(&mut self, answer: &TargetAnswer) {
+        let state = PageState::of(answer);
+        if answer.execution != ExecutionStatus::NotRun && self.page_state.as_ref() != Some(&state) {
+            state.record();
+            self.page_state = Some(state);
+        }
+    }
+
+    /// Applies what the health page says of the process that it names, or else of the registered
+    /// one. An answer that the target refused because it is full says nothing.
     fn apply_page_status(&mut self, answer: &TargetAnswer) {
         let now = self.now();
-        let Some((registration, instance)) =
-            self.registration.as_mut().zip(answer.instance.as_deref())
-        else {
+        let Some(registration) = &mut self.registration else {
+            return;
+        };
+        let registered = registration.current().map(|current| current.instance.clone());
+        let is_registered = registered.is_some();
+        let Some(instance) = answer.instance.clone().or(registered) else {
             return;
         };
-        if answer.is_leaving && registration.current().is_none() {
-            registration.leave(now, instance);
+        if answer.is_leaving && !is_registered {
+            registration.leave(now, &instance);
         }
         match (answer.status, answer.execution) {
-            (200, _) => registration.confirm(instance),
+            (200, _) => registration.confirm(),
             (_, ExecutionStatus::NotRun) => {}
-            _ => registration.deny(instance),
+            _ => registration.deny(&instance),
         }
         if registration.is_denied() {
             self.set_reachable(false);
         }
     }
 
-    /// Applies that the first check of the health page got no answer. The page may be out of order
-    /// while the target is not, so that a process that was confirmed before stays in use.
+    /// Applies that the first check of a process's health page got no answer. The page may be out
+    /// of order while the target is not.
     fn apply_silent_page(&mut self, instance: &str) {
         if let Some(registration) = &mut self.registration
             && registration.current().is_some()
