Registration: each acknowledged departure is remembered, not only in the registered process

Cause: that a process had announced its leaving, or stated it in an answer, was kept in the registered process only. A notice of a later process that is not there replaced it, and once that one was removed a late heartbeat registered the first process again. An outdated notice that says leaving was acknowledged and not kept at all.

Change: such notices and statements are recorded as departures, as deregistrations are.

Evidence: announced_departure_is_remembered_after_another_process_was_registered failed before (Started for Stale).

--- a/crates/admit/src/registration.rs
+++ b/crates/admit/src/registration.rs
@@ -168,17 +168,7 @@
 
     /// Records that the process with this instance id states that it is leaving.
     pub fn leave(&mut self, now: Instant, instance: &str) -> NoticeEffect {
-        match &mut self.current {
-            Some(current) if *current.instance == *instance => {
-                current.is_leaving = true;
-                NoticeEffect::Leaving
-            }
-            Some(_) => NoticeEffect::Stale,
-            None => {
-                self.record_departure(now, instance.into(), None);
-                NoticeEffect::Stale
-            }
-        }
+        self.apply_departure(now, instance.into(), None)
     }
 
     /// Removes the process with this instance id, because its address now belongs to
@@ -194,7 +184,11 @@
     }
 
     fn apply_announcement(&mut self, now: Instant, announcement: Announcement) -> NoticeEffect {
-        if self.is_stale(now, &announcement) {
+        let is_stale = self.is_stale(now, &announcement);
+        if announcement.is_leaving {
+            self.record_departure(now, announcement.instance.clone(), announcement.started);
+        }
+        if is_stale {
             return NoticeEffect::Stale;
         }
         let is_same = self.is_current_process(now, &announcement);
--- a/crates/admit/tests/standing.rs
+++ b/crates/admit/tests/standing.rs
@@ -203,6 +203,33 @@
     assert!(!registration.accepts_requests());
 }
 
+/// A departure was forgotten when a notice of a later process, which was false, replaced the
+/// process that had announced it.
+#[test]
+fn announced_departure_is_remembered_after_another_process_was_registered() {
+    let now = Instant::now();
+    for states_leaving in [false, true] {
+        let mut registration = Registration::new(now);
+        registration.apply(now, Notice::Announced(running("a", 7, 11)));
+        match states_leaving {
+            true => registration.leave(now, "a"),
+            false => registration.apply(now, Notice::Announced(leaving("a", 7, 12))),
+        };
+        registration.apply(now, Notice::Announced(running("b", 9, 1)));
+        assert!(registration.remove(now, "b"), "it is not there");
+        let late = Notice::Announced(running("a", 7, 10));
+        assert_eq!(registration.apply(now, late), NoticeEffect::Stale);
+        assert!(!registration.accepts_requests());
+    }
+    let mut registration = Registration::new(now);
+    registration.apply(now, Notice::Announced(running("b", 9, 1)));
+    let outdated = Notice::Announced(leaving("a", 7, 12));
+    assert_eq!(registration.apply(now, outdated), NoticeEffect::Stale);
+    assert!(registration.remove(now, "b"), "it is not there");
+    let late = Notice::Announced(running("a", 7, 10));
+    assert_eq!(registration.apply(now, late), NoticeEffect::Stale);
+}
+
 /// Issue 46: a daemon that was restarted after it had acknowledged a departure believed a late
 /// heartbeat, although the health page said that the process was not in service.
 #[test]
