Router: a daemon that joins does not refuse calls as evacuated at once

The whole list is known 40 ms later, but changes are reported to the router every 90 ms, so that for some 130 ms the router takes its own data centre for the only one that serves and refuses at once.

Change: calls are refused as evacuated from 750 ms after the router heard of the evacuation, as at the guards.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Whether the service of a call has targets, and all of them are in evacuated data centres.
+    /// Whether a call is refused because all targets of its service are in evacuated data centres.
     async fn is_evacuated(&self, call: &Call) -> bool {
         let service = call.service.clone();
         let message = |reply| router::Message::IsEvacuated { service, reply };
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -1,5 +1,8 @@
 //! The service that tracks the targets of all services and chooses targets for calls.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -34,6 +37,11 @@
 /// Interval at which load reports are polled under the two-choices policy.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time from hearing of an evacuation to the first refusal of calls because all targets are
+/// evacuated. A daemon that joins hears of the evacuation from the first member that it meets, and
+/// of some members later.
+const EVACUATION_GRACE: Duration = Duration::from_millis(750);
+
 /// Messages to the service.
 pub(crate) enum Message {
     /// Choose a target for an attempt.
@@ -86,7 +94,8 @@
     Members(Vec<(Member, Duration)>),
     /// Names of the evacuated data centres, whose targets get no requests.
     Evacuated(DataCentres),
-    /// Returns whether the service has targets, and all of them are in evacuated data centres.
+    /// Returns whether the service has targets, and all of them have been in evacuated data
+    /// centres for the grace time.
     IsEvacuated { service: Box<str>, reply: Reply<bool> },
     /// All services of the configuration in force.
     Services(Vec<Rc<Service>>),
@@ -149,6 +158,7 @@
         random: fastrand::Rng::with_seed(seed),
         members: HashMap::new(),
         evacuated: DataCentres::new(),
+        evacuated_at: None,
         pools: HashMap::new(),
         services: HashMap::new(),
         routed_services: Vec::new(),
@@ -183,6 +193,8 @@
     random: fastrand::Rng,
     members: HashMap<Node, (Member, Duration)>,
     evacuated: DataCentres,
+    /// When the evacuated data centres last changed.
+    evacuated_at: Option<Instant>,
     pools: HashMap<Box<str>, Pool>,
     services: HashMap<Box<str>, Rc<Service>>,
     routed_services: Vec<Box<str>>,
@@ -315,14 +327,11 @@
             Message::Members(members) => self.set_members(members),
             Message::Evacuated(data_centres) => {
                 self.evacuated = data_centres;
+                self.evacuated_at = Some(now);
                 self.update_targets();
             }
             Message::IsEvacuated { service, reply } => {
-                let mut serving = self.serving(&service).peekable();
-                let has_targets = serving.peek().is_some();
-                let is_evacuated =
-                    has_targets && serving.all(|(member, _)| self.is_evacuated(member));
-                reply.send(is_evacuated);
+                reply.send(self.is_service_evacuated(now, &service));
             }
             Message::Services(services) => self.set_services(services),
             Message::RoutedServices(routed_services) => {
@@ -443,6 +452,16 @@
         self.evacuated.contains(&member.data_centre)
     }
 
+    /// Whether the service has targets, and all of them have been in evacuated data centres for
+    /// the grace time.
+    fn is_service_evacuated(&self, now: Instant, service: &str) -> bool {
+        let is_due = |since: Instant| now.saturating_duration_since(since) >= EVACUATION_GRACE;
+        let mut serving = self.serving(service).peekable();
+        self.evacuated_at.is_some_and(is_due)
+            && serving.peek().is_some()
+            && serving.all(|(member, _)| self.is_evacuated(member))
+    }
+
     fn targets(&self, service: &str) -> Vec<Target> {
         let serving = self.serving(service).filter(|(member, _)| !self.is_evacuated(member));
         let targets = serving.map(|(member, rtt)| Target {
