--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -94,8 +94,8 @@
     Members(Vec<(Member, Duration)>),
     /// Names of the evacuated data centres, whose targets get no requests.
     Evacuated(DataCentres),
-    /// Returns whether the service has targets, and all of them have been in evacuated data
-    /// centres for the grace time.
+    /// Returns whether the service has targets, all of them are in evacuated data centres, and
+    /// that may be relied on: the grace time is over.
     IsEvacuated { service: Box<str>, reply: Reply<bool> },
     /// All services of the configuration in force.
     Services(Vec<Rc<Service>>),
@@ -193,7 +193,7 @@
     random: fastrand::Rng,
     members: HashMap<Node, (Member, Duration)>,
     evacuated: DataCentres,
-    /// When the evacuated data centres last changed.
+    /// When the evacuated data centres were last reported.
     evacuated_at: Option<Instant>,
     pools: HashMap<Box<str>, Pool>,
     services: HashMap<Box<str>, Rc<Service>>,
@@ -452,8 +452,8 @@
         self.evacuated.contains(&member.data_centre)
     }
 
-    /// Whether the service has targets, and all of them have been in evacuated data centres for
-    /// the grace time.
+    /// Whether the service has targets, all of them are in evacuated data centres, and the grace
+    /// time since the last report of evacuations is over.
     fn is_service_evacuated(&self, now: Instant, service: &str) -> bool {
         let is_due = |since: Instant| now.saturating_duration_since(since) >= EVACUATION_GRACE;
         let mut serving = self.serving(service).peekable();
